--- a/benches/fold.rs
+++ b/benches/fold.rs
@@ -23,6 +23,7 @@
         prompt: "p".repeat(200).into(),
         tokens: 64,
         repeatable: true,
+        request: None,
     })
 }
 
--- a/examples/batch_measure.rs
+++ b/examples/batch_measure.rs
@@ -10,7 +10,7 @@
     http::Client,
     job::{Ask, Commit, Ended, Outcome, PartRef, Record, State},
     lease::{append_interval, lease_span},
-    platform::HttpLog,
+    store::HttpLog,
     snapshot::{Snapshot, write},
     wire::Name,
 };
@@ -55,6 +55,7 @@
         prompt: "p".repeat(200).into(),
         tokens: 64,
         repeatable: true,
+        request: None,
     })
 }
 
--- a/examples/capacity/jobs.rs
+++ b/examples/capacity/jobs.rs
@@ -73,6 +73,7 @@
         prompt: format!("{i:>200}").into(),
         tokens: 100,
         repeatable: true,
+        request: None,
     }
 }
 
--- a/src/batch/message.rs
+++ b/src/batch/message.rs
@@ -8,6 +8,7 @@
     wire::Name,
 };
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 use std::sync::Arc;
 
 /// Asks a host for something in a stream that it follows.
@@ -44,6 +45,20 @@
     },
     /// Cancel a job.
     Cancel(Which),
+    /// Items that finished, in the order in which they did, from the position `from` on.
+    Finished {
+        /// The job.
+        which: Which,
+        /// First position.
+        from: usize,
+    },
+    /// Body of an item that has not ended.
+    Body {
+        /// The job.
+        which: Which,
+        /// The item's id.
+        item: Name,
+    },
     /// Remove a job.
     Delete(Which),
     /// Tell jobs in the order of their ids.
@@ -97,6 +112,13 @@
     },
     /// Items of a job.
     Items(Run),
+    /// Body of an item; none if it ended or is not in the job.
+    Body {
+        /// The bytes.
+        body: Option<ByteBuf>,
+        /// Position of the state.
+        at: Pos,
+    },
     /// Jobs.
     Jobs {
         /// The jobs.
@@ -218,7 +240,7 @@
     pub fn job(self) -> Res<Brief> {
         match self {
             Self::Job(job) | Self::Deleted { job, .. } => Ok(job),
-            Self::Items(_) | Self::Jobs { .. } => Err(crossed()),
+            Self::Items(_) | Self::Jobs { .. } | Self::Body { .. } => Err(crossed()),
         }
     }
 
@@ -245,11 +267,22 @@
     }
 
     /// Position at which it was so.
+    /// The body of an item.
+    ///
+    /// # Errors
+    /// The answer is to another question.
+    pub fn body(self) -> Res<Option<ByteBuf>> {
+        match self {
+            Self::Body { body, .. } => Ok(body),
+            _ => Err(crossed()),
+        }
+    }
+
     pub(super) fn at(&self) -> Pos {
         match self {
             Self::Job(brief) => brief.at,
             Self::Items(run) => run.at,
-            Self::Jobs { at, .. } | Self::Deleted { at, .. } => *at,
+            Self::Jobs { at, .. } | Self::Deleted { at, .. } | Self::Body { at, .. } => *at,
         }
     }
 }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -14,6 +14,7 @@
 mod load;
 mod message;
 mod parse;
+pub mod passed;
 mod plan;
 mod readers;
 mod results;
@@ -32,7 +33,7 @@
 pub use readers::{Stand, Step, Wish};
 pub use scheduler::{Scheduler, Task};
 pub use stream::{InUse, Slot, Stream, Streams, stream_name, stream_of};
-pub use verdict::{TRIES_MAX, Verdict, judge};
+pub use verdict::{TRIES_MAX, Verdict, judge, judge_passed};
 
 use crate::{
     clock::{SystemClock, Time},
--- a/src/batch/parse.rs
+++ b/src/batch/parse.rs
@@ -107,6 +107,7 @@
         prompt,
         tokens,
         repeatable: line.repeatable,
+        request: None,
     })
 }
 
--- /dev/null
+++ b/src/batch/passed.rs
@@ -0,0 +1,138 @@
+//! Batch jobs whose items are passed on to servers unchanged.
+
+use super::{
+    forward::ask,
+    message::{NewJob, Order, Run, Which},
+};
+use crate::{
+    clock::Clock,
+    config::PassRoute,
+    error::{Fail, Kind, Res},
+    job::{Ask, ItemState, Job, State},
+    kernel::Host,
+    wire::Name,
+};
+use serde_bytes::ByteBuf;
+use std::{sync::Arc, time::Duration};
+
+/// Pause between two looks at whether an item finished, where the job's stream is not followed here.
+const PAUSE: Duration = Duration::from_millis(50);
+/// Time to come back for a job that does not fit: several items finish in it.
+const COME_BACK: Duration = Duration::from_secs(1);
+/// Age of the last reading of the log from which this host asks for a try at another one.
+const LAG_MAX: Duration = Duration::from_secs(3);
+
+/// Accepts a job on `route`, or finds it if it was accepted before.
+///
+/// # Errors
+/// `RateLimited` if it does not fit in the workspace's limit; `Unsettled` if it may be accepted
+/// later; any other failure means that no part of it ever runs.
+pub fn submit(host: &Host, route: &PassRoute, job: NewJob) -> Res<()> {
+    let slot = host.batch.streams.slot_of(&job.id);
+    if route.queued > 0
+        && let Some(stream) = host.batch.streams.enter(slot)
+    {
+        let waiting = stream.jobs.view(|s| match s.job(&job.id) {
+            Some(_) => 0,
+            None => waiting_tokens(s, &job.workspace, route),
+        });
+        let new: u64 = job.asks.iter().map(|a| u64::from(a.tokens)).sum();
+        let is_known = stream.jobs.view(|s| s.job(&job.id).is_some());
+        if !is_known && waiting + new > route.queued {
+            let text = format!(
+                "{waiting} tokens of the workspace wait; {new} more are over the limit of {}",
+                route.queued
+            );
+            return Err(Fail::new(Kind::RateLimited, text).retry_after(COME_BACK));
+        }
+    }
+    let lag = host.config.progress().fresh.map(|f| host.now().saturating_sub(f));
+    if lag.is_none_or(|l| l > LAG_MAX) {
+        tracing::info!(id = &*job.id, lag_ms = lag.map(|l| l.as_millis() as u64), "submit_while_behind");
+    }
+    ask(host, slot, &Order::Create(job))?.job().map(|_| ())
+}
+
+/// Tokens of the open items of `workspace` on `route`.
+fn waiting_tokens(state: &State, workspace: &str, route: &PassRoute) -> u64 {
+    let jobs = state.jobs.iter();
+    let jobs = jobs.filter(|j| *j.workspace == *workspace && j.counts.open > 0);
+    jobs.map(|j| open_tokens(j, route)).sum()
+}
+
+fn open_tokens(job: &Job, route: &PassRoute) -> u64 {
+    let open = job.items(0).filter_map(|i| match &i.state {
+        ItemState::Open { ask, .. } => Some(ask),
+        ItemState::Ended(_) => None,
+    });
+    let on_route = open.filter(|a| is_on(a, route));
+    on_route.map(|a| u64::from(a.tokens)).sum()
+}
+
+fn is_on(ask: &Ask, route: &PassRoute) -> bool {
+    ask.request
+        .as_ref()
+        .is_some_and(|r| r.host == route.host && r.target.starts_with(&*route.prefix))
+}
+
+/// Items of a job in the order in which they finished, from the position `from` on; waits up to
+/// `wait` for the first one.
+///
+/// # Errors
+/// `NotFound` if there is certainly no such job.
+pub fn finished(host: &Host, which: &Which, from: usize, wait: Duration) -> Res<Run> {
+    let slot = host.batch.streams.slot_of(&which.id);
+    let end = host.now() + wait;
+    loop {
+        let order = Order::Finished {
+            which: which.clone(),
+            from,
+        };
+        let run = ask(host, slot, &order)?.items()?;
+        let left = end.saturating_sub(host.now());
+        let is_over = from >= run.total || left.is_zero() || host.is_stopping();
+        if !run.lines.is_empty() || is_over {
+            return Ok(run);
+        }
+        match host.batch.streams.enter(slot) {
+            Some(stream) => {
+                let next = stream.jobs.progress().next;
+                stream.jobs.wait_moved(next, left);
+            }
+            None => host.clock.sleep(PAUSE.min(left)),
+        }
+    }
+}
+
+/// Body of the item `item`; none if it ended.
+///
+/// # Errors
+/// `NotFound` if there is certainly no such job.
+pub fn body(host: &Host, which: Which, item: &Name) -> Res<Option<ByteBuf>> {
+    let slot = host.batch.streams.slot_of(&which.id);
+    let item = item.clone();
+    ask(host, slot, &Order::Body { which, item })?.body()
+}
+
+/// Ends a job.
+///
+/// # Errors
+/// `NotFound` if there is certainly no such job; `Unsettled` if it may end later.
+pub fn cancel(host: &Host, which: Which) -> Res<()> {
+    let slot = host.batch.streams.slot_of(&which.id);
+    ask(host, slot, &Order::Cancel(which))?.job().map(|_| ())
+}
+
+/// Makes a job's items out of requests.
+pub fn asks(requests: Vec<(crate::pass::Request, u32)>) -> Vec<Arc<Ask>> {
+    let ask = |(request, tokens): (crate::pass::Request, u32)| Ask {
+        id: request.id.clone(),
+        model: Name::default(),
+        adapter: None,
+        prompt: Name::default(),
+        tokens,
+        repeatable: true,
+        request: Some(Arc::new(request)),
+    };
+    requests.into_iter().map(ask).map(Arc::new).collect()
+}
--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -1,14 +1,15 @@
 //! Dispatches items to backend servers.
 
-use super::{Task, Verdict, judge, keep, stream::Stream};
+use super::{Task, Verdict, judge, judge_passed, keep, stream::Stream};
 use crate::{
+    config::pass_route,
     error::{Fail, Kind, Res},
     fold::Appended,
     job::{Outcome, Record},
     kernel::Host,
     route::{self, Sink},
     timeline::Happening,
-    wire::{Answer, Class, Work},
+    wire::{Answer, Class, Name, Work},
 };
 use std::{
     sync::{
@@ -151,16 +152,22 @@
 }
 
 fn attempt(host: &Arc<Host>, stream: &Stream, task: &Task) -> Verdict {
+    let model = match model(host, task) {
+        Ok(model) => model,
+        Err(fail) => return judge(Err(fail), task.tries, false),
+    };
     let work = Work {
         id: format!("{}.{}.{}", item_id(task), task.at.epoch, task.attempt).into(),
         workspace: task.workspace.clone(),
-        model: task.ask.model.clone(),
+        model,
         adapter: task.ask.adapter.clone(),
         prompt: task.ask.prompt.clone(),
         tokens: task.ask.tokens,
         class: Class::Batch,
         repeatable: task.ask.repeatable,
         deadline: host.now() + TRY_LIMIT,
+        patience: host.now() + TRY_LIMIT,
+        request: task.ask.request.clone(),
     };
     let mut sink = ItemSink {
         host,
@@ -169,7 +176,25 @@
         yielding: task.ask.repeatable.then_some(&stream.yielding),
     };
     let result = dispatch(host, stream, task, &work, &mut sink);
-    judge(result, task.tries, task.ask.repeatable)
+    match &task.ask.request {
+        Some(request) => judge_passed(result, task.tries, request.attempts),
+        None => judge(result, task.tries, task.ask.repeatable),
+    }
+}
+
+/// What servers for the item must have: its model, or the service that its route leads to now.
+fn model(host: &Host, task: &Task) -> Res<Name> {
+    let Some(request) = &task.ask.request else {
+        return Ok(task.ask.model.clone());
+    };
+    let path = request.target.split('?').next().unwrap_or("");
+    let route = host
+        .config
+        .view(|c| pass_route(c, &request.host, path).cloned());
+    match route {
+        Some(route) => Ok(route.target(&request.id)),
+        None => Err(Fail::new(Kind::NotFound, "the route of the item was removed")),
+    }
 }
 
 /// Whether the model can run the work at all, by its declaration.
--- a/src/batch/serve.rs
+++ b/src/batch/serve.rs
@@ -10,16 +10,19 @@
     error::{Fail, Kind, Res},
     fold::Pos,
     http::Exchange,
-    job::{Job, Record},
+    job::{ItemState, Job, Record},
     kernel::{Host, serve_call},
     timeline::Happening,
 };
+use serde_bytes::ByteBuf;
 use std::{io, sync::Arc, time::Duration};
 
 /// Longest wait for this host to catch up with the log.
 pub(super) const CATCH_UP: Duration = Duration::from_secs(3);
 /// Most bytes of items in one answer to a host.
 const RUN_BYTES: usize = 1 << 20;
+/// Most bytes of items in one answer to a caller, where there is more than one item.
+const FINISHED_BYTES: usize = 512 * 1024;
 
 /// Answers a host that does not follow the stream.
 pub(super) fn serve(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
@@ -47,6 +50,15 @@
             let (job, at) = find(host, stream, which)?;
             Ok(Told::Items(items(&job, at, *from, *limit, RUN_BYTES)))
         }
+        Order::Finished { which, from } => {
+            let (job, at) = find(host, stream, which)?;
+            Ok(Told::Items(finished(&job, at, *from)))
+        }
+        Order::Body { which, item } => {
+            let (job, at) = find(host, stream, which)?;
+            let body = body_of(&job, item);
+            Ok(Told::Body { body, at })
+        }
         Order::Cancel(which) => cancel(host, stream, which),
         Order::Delete(which) => delete(host, stream, which),
         Order::List(span) => Ok(list(stream, span)),
@@ -145,6 +157,37 @@
     }
 }
 
+/// Items of `job` in the order in which they finished, from the position `from` on: at least one if
+/// there is one, and some more while they are small.
+fn finished(job: &Job, at: Pos, from: usize) -> Run {
+    let mut bytes = 0;
+    let mut lines = Vec::new();
+    for index in job.finished.iter().skip(from) {
+        let Some(line) = job.items(*index as usize).next().map(Line::from) else {
+            break;
+        };
+        bytes += line.size();
+        if bytes > FINISHED_BYTES && !lines.is_empty() {
+            break;
+        }
+        lines.push(line);
+    }
+    Run {
+        lines,
+        total: job.counts.total() as usize,
+        at,
+    }
+}
+
+/// Body of the item `id` of `job`, if it is to be passed on unchanged and has not ended.
+fn body_of(job: &Job, id: &str) -> Option<ByteBuf> {
+    let item = job.items(0).find(|i| *i.id == *id)?;
+    match &item.state {
+        ItemState::Open { ask, .. } => ask.request.as_ref().map(|r| r.body.clone()),
+        ItemState::Ended(_) => None,
+    }
+}
+
 fn cancel(host: &Host, stream: &Stream, which: &Which) -> Res<Told> {
     let (job, _) = find(host, stream, which)?;
     let id = &job.id;
--- a/src/batch/verdict.rs
+++ b/src/batch/verdict.rs
@@ -71,6 +71,32 @@
     }
 }
 
+/// Judges a try of an item that is passed on unchanged, after `tries` answers that a server failed.
+/// It ends when a server refuses it as invalid, or after `most` such answers; whatever else happened
+/// to it is no failure of the item.
+pub fn judge_passed(result: Res<Answer>, tries: u32, most: u32) -> Verdict {
+    let fail = match result {
+        Ok(answer) => return judge(Ok(answer), tries, true),
+        Err(fail) => fail,
+    };
+    match fail.kind {
+        Kind::Cancelled => Verdict::Drop,
+        Kind::ServerRefused => Verdict::End(failed(&fail, fail.text.to_string())),
+        Kind::ServerFailed if tries + 1 >= most => {
+            let text = format!("gave up after {most} answers that a server failed: {}", fail.text);
+            Verdict::End(failed(&fail, text))
+        }
+        Kind::ServerFailed => Verdict::Again {
+            pause: PAUSE,
+            charged: true,
+        },
+        _ => Verdict::Again {
+            pause: fail.after.unwrap_or(FULL_PAUSE).min(PAUSE),
+            charged: false,
+        },
+    }
+}
+
 fn failed(fail: &Fail, text: String) -> Outcome {
     Outcome::Failed {
         code: fail.kind.row().code.into(),
--- a/src/bin/gooseberrytackd.rs
+++ b/src/bin/gooseberrytackd.rs
@@ -2,13 +2,12 @@
 
 use argh::FromArgs;
 use eyre::{Result, WrapErr};
-use gooseberrytack::{kernel::Host, settings::Settings};
+use gooseberrytack::{kernel::Host, logs, settings::Settings};
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
 };
-use std::{fs, io, process::ExitCode};
-use tracing_subscriber::{EnvFilter, layer::SubscriberExt, util::SubscriberInitExt};
+use std::{fs, process::ExitCode};
 
 /// Serves online and batch inference: every process between callers and model engines.
 #[derive(FromArgs)]
@@ -36,7 +35,7 @@
         println!("{}: the settings are valid", args.settings);
         return Ok(ExitCode::SUCCESS);
     }
-    start_logs();
+    let _logs = logs::start();
     let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("cannot listen for signals")?;
     let host = Host::start(settings).wrap_err("cannot start the host")?;
     signals.forever().next();
@@ -47,17 +46,3 @@
         ExitCode::FAILURE
     })
 }
-
-/// Logs one line of key=value pairs for each event to standard error.
-fn start_logs() {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-    tracing_subscriber::registry()
-        .with(filter)
-        .with(
-            tracing_logfmt::builder()
-                .with_target(false)
-                .layer()
-                .with_writer(io::stderr),
-        )
-        .init();
-}
--- a/src/config/peer_state.rs
+++ b/src/config/peer_state.rs
@@ -64,6 +64,9 @@
 /// Asks neighbours for their state while reads fail or none has succeeded yet.
 fn catch_up(host: &Arc<Host>) {
     let progress = host.config.progress();
+    if host.dialect.is_some() {
+        return;
+    }
     if progress.fresh.is_some() && !progress.down {
         return;
     }
--- a/src/config/types.rs
+++ b/src/config/types.rs
@@ -3,7 +3,8 @@
 use super::{Item, ObjectId, Outcome};
 use crate::{fold::Pos, wire::Name};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use twox_hash::XxHash3_64;
 
 /// A workspace: whom requests run for.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -99,6 +100,9 @@
     pub issuers: Vec<Issuer>,
     /// What became of the latest changes, sorted by id.
     pub outcomes: Vec<Outcome>,
+    /// Routes of requests that are passed on unchanged, sorted by host name and prefix.
+    #[serde(default)]
+    pub passes: Vec<Arc<PassRoute>>,
 }
 
 /// A declared object.
@@ -153,3 +157,76 @@
     let at = sorted.binary_search_by(|t| (**name(t)).cmp(key)).ok()?;
     sorted.get(at)
 }
+
+/// What may be repeated of the requests of a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PassKind {
+    /// Requests that may run more than once.
+    Repeatable,
+    /// Requests that run at most once.
+    Once,
+    /// Requests answered by an event stream.
+    Stream,
+    /// Batch jobs.
+    Batch,
+}
+
+/// A part of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// Service, by which servers are found as by a model.
+    pub service: Name,
+    /// Share of the requests.
+    pub weight: u32,
+}
+
+/// A route of requests that are passed on unchanged.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PassRoute {
+    /// Host name that requests give.
+    pub host: Name,
+    /// Path prefix; begins and ends with a slash.
+    pub prefix: Name,
+    /// Kind.
+    pub kind: PassKind,
+    /// Where its requests go.
+    pub targets: Vec<Target>,
+    /// Longest time that a request is kept waiting.
+    pub timeout: Duration,
+    /// Objective for the first piece of an answer; zero for none.
+    pub aim: Duration,
+    /// Most servers that may run one request.
+    pub attempts: u32,
+    /// Whether callers need no key.
+    pub open: bool,
+    /// Whether a stream may go on at another server.
+    pub resumable: bool,
+    /// Batch: time after which an item may be given up.
+    pub retention: Duration,
+    /// Batch: most tokens of a workspace that wait; zero for no limit.
+    pub queued: u64,
+}
+
+impl PassRoute {
+    /// Service that the request `id` goes to: the same one on every host.
+    pub fn target(&self, id: &str) -> Name {
+        let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
+        let mut at = XxHash3_64::oneshot(id.as_bytes()) % total.max(1);
+        for target in &self.targets {
+            let weight = u64::from(target.weight);
+            if at < weight {
+                return target.service.clone();
+            }
+            at -= weight;
+        }
+        self.targets.last().map(|t| t.service.clone()).unwrap_or_default()
+    }
+}
+
+/// The route of a request to `path` at the name `host`: the one with the longest prefix.
+pub fn pass_route<'a>(state: &'a State, host: &str, path: &str) -> Option<&'a Arc<PassRoute>> {
+    let from = state.passes.partition_point(|r| *r.host < *host);
+    let same = state.passes[from..].iter().take_while(|r| *r.host == *host);
+    same.filter(|r| path.starts_with(&*r.prefix))
+        .max_by_key(|r| r.prefix.len())
+}
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -85,6 +85,7 @@
 
 fn work(host: &Host, caller: &Caller, ask: &ChatAsk) -> Work {
     let limit = ask.limit.unwrap_or(host.settings.deadline);
+    let deadline = host.now() + limit.min(host.settings.deadline);
     Work {
         id: request_id(),
         workspace: caller.workspace.clone(),
@@ -94,7 +95,9 @@
         tokens: ask.tokens,
         class: Class::Online,
         repeatable: ask.repeatable,
-        deadline: host.now() + limit.min(host.settings.deadline),
+        deadline,
+        patience: deadline,
+        request: None,
     }
 }
 
--- a/src/error/mod.rs
+++ b/src/error/mod.rs
@@ -54,6 +54,10 @@
     ServerLost,
     /// The backend server refused the request as invalid.
     ServerRefused,
+    /// The backend server did not run the request, because it is full or another one.
+    ServerFull,
+    /// The backend server answered that it failed.
+    ServerFailed,
     /// The backend server's answer was cut, crossed or too long.
     BrokenAnswer,
     /// The key was withdrawn while the answer was under way.
--- a/src/error/table.rs
+++ b/src/error/table.rs
@@ -43,7 +43,7 @@
 
 impl Kind {
     /// All kinds, in the order of declaration.
-    pub const ALL: [Kind; 28] = [
+    pub const ALL: [Kind; 30] = [
         Kind::BadRequest,
         Kind::RequestCut,
         Kind::Unauthorized,
@@ -66,6 +66,8 @@
         Kind::Unreachable,
         Kind::ServerLost,
         Kind::ServerRefused,
+        Kind::ServerFull,
+        Kind::ServerFailed,
         Kind::BrokenAnswer,
         Kind::KeyWithdrawn,
         Kind::Preempted,
@@ -99,6 +101,8 @@
             Kind::Unreachable => row(503, "unreachable", Ran::No, SOON),
             Kind::ServerLost => row(502, "server_lost", Ran::Unknown, SOON),
             Kind::ServerRefused => row(502, "server_refused", Ran::Unknown, None),
+            Kind::ServerFull => row(503, "server_full", Ran::No, SOON),
+            Kind::ServerFailed => row(502, "server_failed", Ran::Yes, SOON),
             Kind::BrokenAnswer => row(502, "broken_answer", Ran::Yes, SOON),
             Kind::KeyWithdrawn => row(401, "key_withdrawn", Ran::Yes, None),
             Kind::Preempted => row(503, "preempted", Ran::Yes, SOON),
--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -8,7 +8,7 @@
 use crate::{
     clock::{Clock, Time},
     error::{Fail, Kind, Res},
-    platform::{AppendError, Log, Page},
+    store::{AppendError, Log, Page},
     snapshot,
     wire::Name,
 };
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -98,3 +98,22 @@
     type Reply = Noted;
     const PATH: &'static str = "/peer/gate/renew";
 }
+
+/// Has the holder of a slot end its attempt at the server, because the work has to give way.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Yield {
+    /// Id of the attempt.
+    pub id: Name,
+}
+
+/// Answer to [`Yield`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Yielded {
+    /// Whether the attempt was under way.
+    pub found: bool,
+}
+
+impl Call for Yield {
+    type Reply = Yielded;
+    const PATH: &'static str = "/peer/gate/yield";
+}
--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -1,7 +1,7 @@
 //! The granting side: the queues of the servers that this host is in charge of.
 
 use super::{
-    call::{Acquire, Admission, Done, Kept},
+    call::{Acquire, Admission, Done, Kept, Yield},
     queue::{Ask, Counts, Queue, Turn, Verdict},
 };
 use crate::{
@@ -100,9 +100,12 @@
             return Admission::Closed;
         };
         let Ask { model, adapter, .. } = &call.ask;
-        let serves = host
-            .orders
-            .serves(&call.server, model, adapter.as_deref(), host.now());
+        let serves = match host.dialect {
+            Some(_) => server.models.contains(model),
+            None => host
+                .orders
+                .serves(&call.server, model, adapter.as_deref(), host.now()),
+        };
         if !serves {
             return Admission::Closed;
         }
@@ -268,7 +271,11 @@
             let Some(addr) = host.config.view(|s| s.server(server).map(|s| s.addr)) else {
                 return;
             };
-            if cancel_at(host, addr, id) {
+            let is_ended = match host.dialect {
+                Some(_) => give_way(host, gate, id),
+                None => cancel_at(host, addr, id),
+            };
+            if is_ended {
                 let mut inner = gate.lock();
                 let turn = inner.queue.confirm(host.now(), id);
                 return self.follow(gate, &inner, turn);
@@ -316,6 +323,29 @@
     }
 }
 
+/// Has the holder of a slot close its connection to the server, at which the server ends the
+/// attempt; `true` if it did.
+fn give_way(host: &Host, gate: &Gate, id: &Name) -> bool {
+    let Some(holder) = gate.lock().queue.holder(id) else {
+        return false;
+    };
+    if holder == host.me.name {
+        return host.passing.end(id);
+    }
+    let ring = host.members.ring();
+    let Some(peer) = ring.peer(&holder) else {
+        return false;
+    };
+    let call = Yield { id: id.clone() };
+    match host.call(peer.addr, &call, CANCEL_LIMIT) {
+        Ok(reply) => reply.found,
+        Err(fail) => {
+            tracing::info!(id = &**id, peer = &*holder, error = %fail, "yield_not_answered");
+            false
+        }
+    }
+}
+
 /// Cancels a generation at a server; `true` if the server says that it ended it.
 pub fn cancel_at(host: &Host, addr: std::net::SocketAddr, id: &Name) -> bool {
     let url = format!("http://{addr}/v1/cancel");
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -10,7 +10,7 @@
 mod hold;
 mod queue;
 
-pub use call::{Acquire, Admission, Done, Kept, Noted, Release, Renew};
+pub use call::{Acquire, Admission, Done, Kept, Noted, Release, Renew, Yield, Yielded};
 pub use fleet::{Served, Tags};
 pub use grant::{Queues, WAIT_MAX, cancel_at};
 pub use hold::{Held, Reply, Slot};
@@ -35,6 +35,7 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/release", handle: release },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/renew", handle: renew },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/served", handle: served },
+            Route { port: Port::Peer, method: "POST", path: "/peer/gate/yield", handle: give_way },
         ],
         tasks: &[
             Task { name: "gate-renew", every: RENEW_EVERY, run: |h| h.gates.held.renew(h) },
@@ -89,6 +90,14 @@
     })
 }
 
+fn give_way(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
+    serve_call(host, exchange, |host, call: Yield| {
+        Ok(Yielded {
+            found: host.passing.end(&call.id),
+        })
+    })
+}
+
 fn served(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
     serve_call(host, exchange, |host, call: Served| {
         Ok(fleet::add(host, &call))
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -204,6 +204,12 @@
             .is_ok_and(|at| self.held[at].evicted && !self.held[at].ended)
     }
 
+    /// Host that holds the slot of the attempt `id`.
+    pub fn holder(&self, id: &str) -> Option<Name> {
+        let at = self.find(id).ok()?;
+        Some(self.held[at].ask.holder.clone())
+    }
+
     /// Renews a slot; takes it over if an earlier gate granted it.
     pub fn renew(&mut self, now: Time, ask: &Ask, weight: u32) {
         match self.find(&ask.id) {
--- a/src/job/apply.rs
+++ b/src/job/apply.rs
@@ -99,6 +99,7 @@
             },
             cut,
             parts: asks.chunks(cut as usize).map(Part::new).collect(),
+            finished: Vec::new(),
         };
         self.jobs.insert(slot, Arc::new(job));
         self.uploads.remove(found);
--- a/src/job/change.rs
+++ b/src/job/change.rs
@@ -41,14 +41,18 @@
             if target.is_open(end.index) {
                 target.items[end.index as usize].state = ItemState::Ended(end.outcome.clone());
                 target.open -= 1;
-                ends.push(&end.outcome);
+                ends.push(end);
             }
         }
         let closed = target.open == 0 && !ends.is_empty();
         if closed {
             target.holder = None;
         }
-        ends.iter().for_each(|outcome| self.counts.end(outcome));
+        ends.iter().for_each(|end| self.counts.end(&end.outcome));
+        let first = part * self.cut.max(1);
+        let listed = |o: &Outcome| matches!(o, Outcome::Done { .. } | Outcome::Failed { .. });
+        let listed = ends.iter().filter(|end| listed(&end.outcome));
+        self.finished.extend(listed.map(|end| first + end.index));
         if closed && self.counts.open == 0 {
             self.ended = Some(clock);
         }
--- a/src/job/records.rs
+++ b/src/job/records.rs
@@ -1,6 +1,6 @@
 //! Records of the jobs stream.
 
-use crate::{fold::Pos, wire::Name};
+use crate::{fold::Pos, pass::Request, wire::Name};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -19,6 +19,9 @@
     pub tokens: u32,
     /// Whether it may run more than once.
     pub repeatable: bool,
+    /// What to pass on unchanged; none for a generation of this product's own interface.
+    #[serde(default)]
+    pub request: Option<Arc<Request>>,
 }
 
 /// How an item ended.
--- a/src/job/state.rs
+++ b/src/job/state.rs
@@ -85,6 +85,10 @@
     pub cut: u32,
     /// Parts, in the order of submission.
     pub parts: Vec<Arc<Part>>,
+    /// Items with an answer and items that failed, as indices in the order of submission, in the
+    /// order in which they ended.
+    #[serde(default)]
+    pub finished: Vec<u32>,
 }
 
 /// Number of items by how they stand.
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -1,10 +1,11 @@
 //! One host: its state, its ports and threads, and how they start and stop.
 
-use super::{Plugin, Port, RelayLog, Router, Task};
+use super::{Handler, Plugin, Port, RelayLog, Router, Task};
 use crate::{
     batch::Batch,
     clock::{Clock, SystemClock, Time},
     config, control,
+    declared::Declared,
     entry::withdraw::Keys,
     error::{Fail, Kind},
     fold::{Fold, Follower},
@@ -16,7 +17,8 @@
     metrics::{LogWatch, Served},
     once::Calls,
     order::Orders,
-    platform::{HttpHosts, HttpLog},
+    pass::{Dialect, Registry},
+    store::{HttpHosts, HttpLog, SharedHosts, SharedLog},
     route::Routes,
     settings::Settings,
     snapshot::Snapshots,
@@ -49,6 +51,39 @@
 /// Longest sleep of a task's thread without a look at whether the host stops.
 const NAP: Duration = Duration::from_millis(20);
 
+/// What a host talks to beside callers and peers.
+#[derive(Debug, Clone)]
+pub struct Edges {
+    /// The log.
+    pub log: SharedLog,
+    /// The host list.
+    pub list: SharedHosts,
+    /// The outside system that declares the configuration, if one does.
+    pub outside: Option<Outside>,
+}
+
+/// An outside system whose requests are passed on unchanged.
+#[derive(Debug, Clone, Copy)]
+pub struct Outside {
+    /// Answers every request on the callers' port.
+    pub face: Handler,
+    /// Names of its servers' protocol.
+    pub dialect: &'static Dialect,
+}
+
+impl Edges {
+    /// This product's own interfaces, by HTTP at the addresses in `settings`.
+    pub fn own(settings: &Settings, client: &Client) -> Self {
+        let log = HttpLog::new(settings.log.clone(), client.clone());
+        let list = HttpHosts::new(settings.list.clone(), client.clone());
+        Self {
+            log: SharedLog(Arc::new(log)),
+            list: SharedHosts(Arc::new(list)),
+            outside: None,
+        }
+    }
+}
+
 /// One host with all its roles.
 #[derive(Debug)]
 pub struct Host {
@@ -61,9 +96,9 @@
     /// Client for all calls to other processes.
     pub client: Client,
     /// The log, for roles that read it beside the followers.
-    pub log: HttpLog,
+    pub log: SharedLog,
     /// The platform's host list.
-    pub list: HttpHosts,
+    pub list: SharedHosts,
     /// Configuration.
     pub config: ConfigFollower,
     /// Rate shares.
@@ -98,6 +133,12 @@
     pub caller: SocketAddr,
     /// Address of the operators' port.
     pub control: SocketAddr,
+    /// Configuration that an outside system declares.
+    pub declared: Declared,
+    /// Attempts under way that pass requests on unchanged.
+    pub passing: Registry,
+    /// Names of the servers' protocol where requests are passed on unchanged.
+    pub dialect: Option<&'static Dialect>,
     stopping: AtomicBool,
     dead: AtomicBool,
     servers: Mutex<Vec<Server>>,
@@ -109,19 +150,37 @@
     /// # Errors
     /// A port cannot be bound.
     pub fn start(settings: Settings) -> io::Result<Arc<Self>> {
+        let edges = |client: &Client| Edges::own(&settings, client);
+        Self::start_with(settings.clone(), edges)
+    }
+
+    /// Starts a host with other edges than this product's own.
+    ///
+    /// # Errors
+    /// A port cannot be bound.
+    pub fn start_with(
+        settings: Settings,
+        edges: impl FnOnce(&Client) -> Edges,
+    ) -> io::Result<Arc<Self>> {
         let clock = SystemClock::new();
         let client = Client::new();
-        let log = HttpLog::new(settings.log.clone(), client.clone());
-        let list = HttpHosts::new(settings.list.clone(), client.clone());
+        let Edges {
+            log,
+            list,
+            outside,
+        } = edges(&client);
+        let face = outside.map(|o| o.face);
         let peer_bounds = Bounds {
             idle: Duration::from_secs(60),
             ..Bounds::default()
         };
         let slot: Arc<OnceLock<Arc<Host>>> = Arc::default();
         let relay = RelayLog::new(log.clone(), slot.clone());
-        let caller = listen(settings.caller, settings.bounds, Port::Caller, &slot)?;
-        let peer = listen(settings.peer, peer_bounds, Port::Peer, &slot)?;
-        let control = listen(settings.control, peer_bounds, Port::Control, &slot)?;
+        let caller = listen(settings.caller, settings.bounds, Port::Caller, &slot, face)?;
+        let peer = listen(settings.peer, peer_bounds, Port::Peer, &slot, None)?;
+        let control = listen(settings.control, peer_bounds, Port::Control, &slot, None)?;
+        let ready = settings.ready.map(|a| listen(a, peer_bounds, Port::Ready, &slot, None));
+        let ready = ready.transpose()?;
         let me = Peer {
             name: start_name(&settings.name),
             addr: peer.addr(),
@@ -146,9 +205,12 @@
             metrics,
             caller: caller.addr(),
             control: control.addr(),
+            declared: Declared::default(),
+            passing: Registry::default(),
+            dialect: outside.map(|o| o.dialect),
             stopping: AtomicBool::new(false),
             dead: AtomicBool::new(false),
-            servers: Mutex::new(vec![caller, control, peer]),
+            servers: Mutex::new([caller, control, peer].into_iter().chain(ready).collect()),
             settings,
             me,
             clock,
@@ -157,7 +219,9 @@
             list,
         });
         let _ = slot.set(host.clone());
-        host.config.start();
+        if host.dialect.is_none() {
+            host.config.start();
+        }
         host.batch.start(&host);
         host.homes.start();
         host.calls.start();
@@ -275,11 +339,15 @@
     bounds: Bounds,
     port: Port,
     slot: &Arc<OnceLock<Arc<Host>>>,
+    face: Option<Handler>,
 ) -> io::Result<Server> {
     let router = Router::new(port);
     let slot = slot.clone();
     Server::start(addr, bounds, move |exchange| {
-        let _ = dispatch(slot.get(), port, &router, exchange);
+        let _ = match (face, slot.get()) {
+            (Some(face), Some(host)) => face(host, exchange),
+            (_, host) => dispatch(host, port, &router, exchange),
+        };
     })
 }
 
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -10,7 +10,9 @@
 mod router;
 
 pub use call::{Call, serve_call};
-pub use host::{CallsFollower, ConfigFollower, Follow, HomesFollower, Host, JobFollower};
+pub use host::{
+    CallsFollower, ConfigFollower, Edges, Follow, HomesFollower, Host, JobFollower, Outside,
+};
 pub use relay::{RelayLog, neighbours};
 pub use router::Router;
 
@@ -29,6 +31,8 @@
     Peer,
     /// For operators.
     Control,
+    /// For the balancer's question whether the host is ready.
+    Ready,
 }
 
 /// A path that a role answers.
--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -5,7 +5,7 @@
     clock::Time,
     error::Res,
     http::Exchange,
-    platform::{AppendError, HttpLog, Log, Page},
+    store::{AppendError, Log, Page, SharedLog},
     wire::{Name, Peer},
 };
 use serde::{Deserialize, Serialize};
@@ -52,7 +52,7 @@
 /// one from the log itself. Appends never go through a peer: their outcome would be harder to know.
 #[derive(Debug, Clone)]
 pub struct RelayLog {
-    log: HttpLog,
+    log: SharedLog,
     host: Arc<OnceLock<Arc<Host>>>,
     state: Arc<Mutex<Backoff>>,
 }
@@ -66,7 +66,7 @@
 
 impl RelayLog {
     /// Reads through `log`, and through the peers of `host` as soon as that is set.
-    pub fn new(log: HttpLog, host: Arc<OnceLock<Arc<Host>>>) -> Self {
+    pub fn new(log: SharedLog, host: Arc<OnceLock<Arc<Host>>>) -> Self {
         Self {
             log,
             host,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,13 +1,14 @@
 //! Serves online and batch language-model inference from one fleet of model engines.
 //!
 //! Every host runs the same daemon. Decisions are plain code that takes the time as an argument
-//! and does no I/O; the edges (`http`, `platform`, `engine`) do I/O and decide nothing.
+//! and does no I/O; the edges (`http`, `store`, `engine`) do I/O and decide nothing.
 
 pub mod batch;
 pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod declared;
 pub mod engine;
 pub mod entry;
 pub mod error;
@@ -18,15 +19,18 @@
 pub mod kernel;
 pub mod lease;
 pub mod limit;
+pub mod logs;
 pub mod member;
 pub mod metrics;
 pub mod once;
 pub mod order;
-pub mod platform;
+
+pub mod pass;
 pub mod retry;
 pub mod route;
 pub mod settings;
 pub mod share;
 pub mod snapshot;
+pub mod store;
 pub mod timeline;
 pub mod wire;
--- a/src/member/list.rs
+++ b/src/member/list.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock::Time,
-    platform::{Listed, Standing},
+    store::{Listed, Standing},
     wire::{Name, Peer},
 };
 use std::time::Duration;
--- a/src/member/task.rs
+++ b/src/member/task.rs
@@ -5,7 +5,7 @@
     clock::Time,
     http::Exchange,
     kernel::{Host, Plugin, Port, Route, Task, serve_call},
-    platform::{Hosts, Listed, Standing},
+    store::{Hosts, Listed, Standing},
     wire::Peer,
 };
 use std::{io, sync::Arc, thread, time::Duration};
--- /dev/null
+++ b/src/pass/conn.rs
@@ -0,0 +1,188 @@
+//! One request at one server, on a connection of its own.
+//!
+//! A connection that no earlier request used cannot have been closed by the server in between, and
+//! bytes that a server sends after its answer end with it.
+
+use super::{Body, Framing, Head};
+use std::{
+    io::{self, ErrorKind, Read, Write},
+    net::{Shutdown, SocketAddr, TcpStream},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Bytes read at once.
+const READ_SIZE: usize = 8 * 1024;
+/// Longest head of an answer in bytes.
+const HEAD_MAX: usize = 32 * 1024;
+/// Most header fields in an answer.
+const FIELDS_MAX: usize = 64;
+/// Longest time that one write may wait for the server.
+const WRITE_LIMIT: Duration = Duration::from_secs(1);
+
+/// A connection to a server with one request on it. Dropping it closes the connection, at which the
+/// server ends the request.
+#[derive(Debug)]
+pub struct Conn {
+    stream: Arc<TcpStream>,
+    buffer: Vec<u8>,
+    body: Option<Body>,
+}
+
+/// Why nothing was read.
+#[derive(Debug)]
+pub enum ReadError {
+    /// Nothing arrived in the time given.
+    Quiet,
+    /// The connection failed or ended too early, or what arrived is no answer.
+    Broken(String),
+}
+
+impl Conn {
+    /// Connects within `limit`.
+    ///
+    /// # Errors
+    /// There is no connection; nothing was sent.
+    pub fn open(addr: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&addr, limit)?;
+        stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(WRITE_LIMIT))?;
+        Ok(Self {
+            stream: Arc::new(stream),
+            buffer: Vec::new(),
+            body: None,
+        })
+    }
+
+    /// The socket, to be shut down from elsewhere.
+    pub fn socket(&self) -> Arc<TcpStream> {
+        self.stream.clone()
+    }
+
+    /// Sends a whole request.
+    ///
+    /// # Errors
+    /// The connection failed; the server may have the request.
+    pub fn send(&self, head: &str, body: &[u8]) -> io::Result<()> {
+        let mut bytes = Vec::with_capacity(head.len() + body.len());
+        bytes.extend_from_slice(head.as_bytes());
+        bytes.extend_from_slice(body);
+        (&*self.stream).write_all(&bytes)
+    }
+
+    /// Reads the head of the answer, waiting for `limit` at most.
+    ///
+    /// # Errors
+    /// It is not there yet, or there will be none.
+    pub fn head(&mut self, limit: Duration) -> Result<Head, ReadError> {
+        let end = Instant::now() + limit;
+        loop {
+            if let Some(head) = self.parse_head()? {
+                return Ok(head);
+            }
+            let left = end.saturating_duration_since(Instant::now());
+            if self.fill(left)? == 0 {
+                return Err(broken("the connection ended before the answer"));
+            }
+        }
+    }
+
+    /// Appends what arrives of the body to `out`, waiting for `limit` at most; `false` at its end.
+    ///
+    /// # Errors
+    /// Nothing arrived in time, or the body was cut.
+    pub fn read(&mut self, limit: Duration, out: &mut Vec<u8>) -> Result<bool, ReadError> {
+        let Some(body) = &mut self.body else {
+            return Err(broken("the head of the answer was not read"));
+        };
+        if body.is_whole() {
+            return Ok(false);
+        }
+        if self.buffer.is_empty() && self.fill(limit)? == 0 {
+            let whole = self.body.as_mut().is_some_and(Body::end);
+            return match whole {
+                true => Ok(false),
+                false => Err(broken("the answer was cut")),
+            };
+        }
+        let bytes = std::mem::take(&mut self.buffer);
+        match &mut self.body {
+            Some(body) => body
+                .take(&bytes, out)
+                .map(|()| true)
+                .map_err(|_| broken("the answer has a chunk that is not valid")),
+            None => Ok(false),
+        }
+    }
+
+    fn fill(&mut self, limit: Duration) -> Result<usize, ReadError> {
+        let limit = limit.max(Duration::from_millis(1));
+        let mut piece = [0; READ_SIZE];
+        let read = self
+            .stream
+            .set_read_timeout(Some(limit))
+            .and_then(|()| (&*self.stream).read(&mut piece));
+        match read {
+            Ok(n) => {
+                self.buffer.extend_from_slice(&piece[..n]);
+                Ok(n)
+            }
+            Err(e) => match e.kind() {
+                ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted => {
+                    Err(ReadError::Quiet)
+                }
+                _ => Err(broken(&format!("the connection failed: {e}"))),
+            },
+        }
+    }
+
+    fn parse_head(&mut self) -> Result<Option<Head>, ReadError> {
+        let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+        let mut parsed = httparse::Response::new(&mut fields);
+        let size = match parsed.parse(&self.buffer) {
+            Ok(httparse::Status::Complete(size)) => size,
+            Ok(httparse::Status::Partial) if self.buffer.len() <= HEAD_MAX => return Ok(None),
+            Ok(httparse::Status::Partial) => return Err(broken("the answer's head is too long")),
+            Err(e) => return Err(broken(&format!("not an HTTP answer: {e}"))),
+        };
+        let named = parsed.headers.iter().map(|f| {
+            let value = String::from_utf8_lossy(f.value).trim().to_string();
+            (f.name.to_ascii_lowercase(), value)
+        });
+        let head = Head {
+            status: parsed.code.unwrap_or(0),
+            fields: named.collect(),
+        };
+        self.buffer.drain(..size);
+        if (100..200).contains(&head.status) {
+            return self.parse_head();
+        }
+        self.body = Some(Body::new(framing(&head)?));
+        Ok(Some(head))
+    }
+}
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
+fn framing(head: &Head) -> Result<Framing, ReadError> {
+    if matches!(head.status, 204 | 304) {
+        return Ok(Framing::Length(0));
+    }
+    match (head.field("transfer-encoding"), head.field("content-length")) {
+        (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+        (Some(_), _) => Err(broken("the answer's framing is not valid")),
+        (None, Some(text)) => text
+            .parse()
+            .map(Framing::Length)
+            .map_err(|_| broken("the answer's length is not a number")),
+        (None, None) => Ok(Framing::Close),
+    }
+}
+
+fn broken(text: &str) -> ReadError {
+    ReadError::Broken(text.into())
+}
--- /dev/null
+++ b/src/pass/forward.rs
@@ -0,0 +1,198 @@
+//! Checks a request to be passed on, and carries it out.
+
+use super::{Request, sink::PassSink};
+use crate::{
+    clock::Time,
+    config::{PassKind, PassRoute, pass_route},
+    entry::auth::{self, Caller},
+    error::{Fail, Kind, Ran, Res},
+    http::Exchange,
+    kernel::Host,
+    route::dispatch,
+    timeline::Happening,
+    wire::{Class, Name, Work},
+};
+use std::{io, sync::Arc, time::Duration};
+
+/// Part of the objective for the first piece of an answer that a request may wait for a slot. One
+/// that waited longer is refused while its caller can still be served in time by another host.
+const PATIENCE: f64 = 0.8;
+/// Longest time that a request on a route without an objective waits for a slot.
+const PATIENCE_MAX: Duration = Duration::from_secs(1);
+
+/// A request as it came in.
+#[derive(Debug, Clone)]
+pub struct Arrival {
+    /// What to pass on.
+    pub request: Request,
+    /// Longest time that the caller waits.
+    pub limit: Option<Duration>,
+    /// Prompt tokens and most output tokens.
+    pub tokens: u32,
+    /// Names the part of the prompt that other requests share.
+    pub prefix: Name,
+}
+
+/// A request that may run.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// Its route.
+    pub route: Arc<PassRoute>,
+    /// Whom it runs for; nobody on a route open to all.
+    pub caller: Option<Caller>,
+}
+
+/// Finds the route of a request to `path` at the name `name`, and whom it runs for by its `key`.
+///
+/// # Errors
+/// `NotReady` if this host knows no configuration, `NotFound`, or `Unauthorized`.
+pub fn enter(host: &Host, name: &str, path: &str, key: Option<&str>) -> Res<Entry> {
+    check_connected(host)?;
+    let route = host.config.view(|s| pass_route(s, name, path).cloned());
+    let route = route.ok_or_else(|| {
+        let text = format!("no route for host \"{name}\" and path \"{path}\"");
+        Fail::new(Kind::NotFound, text)
+    })?;
+    if route.open {
+        return Ok(Entry {
+            route,
+            caller: None,
+        });
+    }
+    Ok(Entry {
+        route,
+        caller: Some(caller(host, key)?),
+    })
+}
+
+/// Whom a request with `key` runs for.
+///
+/// # Errors
+/// `NotReady` if this host knows no configuration, or `Unauthorized`.
+pub fn caller(host: &Host, key: Option<&str>) -> Res<Caller> {
+    check_connected(host)?;
+    let key = key.ok_or_else(|| Fail::new(Kind::Unauthorized, "the request has no key"))?;
+    let hash = auth::hash_key(key);
+    let found = host
+        .config
+        .view(|s| s.key(&hash).map(|k| k.workspace.clone()));
+    let workspace =
+        found.ok_or_else(|| Fail::new(Kind::Unauthorized, "the key is unknown or withdrawn"))?;
+    Ok(Caller { workspace, hash })
+}
+
+fn check_connected(host: &Host) -> Res<()> {
+    match host.is_connected() {
+        true => Ok(()),
+        false => Err(Fail::new(
+            Kind::NotReady,
+            "the host does not know the configuration; use another",
+        )),
+    }
+}
+
+/// Carries a request out and passes the answer back.
+///
+/// # Errors
+/// The connection to the caller failed.
+pub fn forward(
+    host: &Arc<Host>,
+    exchange: &mut Exchange,
+    entry: &Entry,
+    arrival: Arrival,
+) -> io::Result<()> {
+    let began = host.now();
+    let id = arrival.request.id.clone();
+    let limited = |c: &Caller| {
+        let rate = host.config.view(|s| s.workspace(&c.workspace).map(|w| w.rate));
+        rate.is_none_or(|r| r > 0)
+    };
+    let permit = match entry.caller.as_ref().filter(|c| limited(c)) {
+        Some(caller) => match auth::reserve(host, caller) {
+            Ok(permit) => Some(permit),
+            Err(fail) => {
+                refused(host, &id, &fail);
+                return super::fail(exchange, &fail);
+            }
+        },
+        None => None,
+    };
+    let work = work(entry, arrival, began);
+    host.timeline
+        .note(Happening::Received, &id, None, &work.workspace);
+    let mut sink = PassSink::new(host, exchange, permit, began);
+    let result = dispatch(host, &work, &mut sink);
+    if let Err(fail) = &result {
+        refused(host, &id, fail);
+    }
+    sink.finish(&result)
+}
+
+/// Notes that the request `id` was refused or failed.
+pub fn refused(host: &Host, id: &str, fail: &Fail) {
+    let note = format!("{}: {}", fail.kind.row().code, fail.text);
+    host.timeline.note(Happening::Refused, id, None, &note);
+    host.served.refused(fail.kind);
+}
+
+fn work(entry: &Entry, arrival: Arrival, began: Time) -> Work {
+    let route = &entry.route;
+    let limit = arrival.limit.unwrap_or(route.timeout).min(route.timeout);
+    let wait = match route.aim.is_zero() {
+        true => PATIENCE_MAX,
+        false => route.aim.mul_f64(PATIENCE),
+    };
+    let workspace = entry.caller.as_ref().map(|c| c.workspace.clone());
+    let request = Request {
+        attempts: route.attempts,
+        ..arrival.request
+    };
+    Work {
+        id: request.id.clone(),
+        workspace: workspace.unwrap_or_default(),
+        model: route.target(&request.id),
+        adapter: None,
+        prompt: arrival.prefix,
+        tokens: arrival.tokens,
+        class: Class::Online,
+        repeatable: match route.kind {
+            PassKind::Repeatable => true,
+            PassKind::Stream => route.resumable,
+            PassKind::Once | PassKind::Batch => false,
+        },
+        deadline: began + limit,
+        patience: began + wait.min(limit),
+        request: Some(Arc::new(request)),
+    }
+}
+
+/// Answers with the error table's answer for `fail`; the time to come back is given in parts of a
+/// second.
+///
+/// # Errors
+/// The connection to the caller failed.
+pub fn fail(exchange: &mut Exchange, fail: &Fail) -> io::Result<()> {
+    if exchange.is_begun() {
+        exchange.cut();
+        return Ok(());
+    }
+    let after = fail.come_back().filter(|_| fail.kind.row().ran == Ran::No);
+    let after = after.map(|d| format!("{:.3}", d.as_secs_f64()));
+    let mut fields = vec![("content-type", "text/plain")];
+    if let Some(after) = &after {
+        fields.push(("retry-after", after));
+    }
+    exchange.send_with(status(fail.kind), &fields, fail.text.as_bytes())
+}
+
+/// Status of an answer to `kind`. A status that promises that the request did not run is given only
+/// where that is certain.
+fn status(kind: Kind) -> u16 {
+    let row = kind.row();
+    match (row.status, row.ran) {
+        (408 | 421 | 429 | 503, Ran::Yes | Ran::Unknown) => 504,
+        // Nothing ran: the caller may come back.
+        (504, Ran::No) => 503,
+        (status, _) => status,
+    }
+}
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -4,6 +4,8 @@
 
 /// Attempts at one piece of work, the first included.
 pub const ATTEMPTS: u32 = 4;
+/// Attempts at one request that is passed on unchanged, those included that no server ran.
+pub const PASSED_ATTEMPTS: u32 = 8;
 /// Retries that may be made at once after a quiet time.
 pub const RESERVE: u64 = 20;
 
@@ -62,6 +64,21 @@
     }
 }
 
+/// Decides for a request that is passed on unchanged. `may_send` tells whether one more server may
+/// run it.
+pub fn decide_passed(kind: Kind, repeatable: bool, attempts: u32, may_send: bool) -> Next {
+    if attempts >= PASSED_ATTEMPTS {
+        return Next::GiveUp;
+    }
+    match kind {
+        Kind::Unreachable | Kind::Overloaded | Kind::ServerFull => Next::Again,
+        Kind::ServerLost | Kind::BrokenAnswer | Kind::ServerFailed if repeatable && may_send => {
+            Next::Again
+        }
+        _ => Next::GiveUp,
+    }
+}
+
 /// The failure to answer with, when an earlier attempt may have run: a kind that says "not run"
 /// would not be true then.
 pub fn settle(fail: Fail, earlier: Option<&Fail>, repeatable: bool) -> Fail {
--- a/src/route/acquire.rs
+++ b/src/route/acquire.rs
@@ -20,6 +20,10 @@
 /// Longest wait for a server when all are set aside or no gate answers.
 const PAUSES_MAX: Duration = Duration::from_secs(2);
 
+/// Time to come back for a request that waited for a slot in vain: about as long as a generation
+/// takes, after which slots are free again.
+const COME_BACK: Duration = Duration::from_millis(500);
+
 /// What came of asking around without waiting.
 pub(super) enum Asked {
     Slot(Slot),
@@ -189,6 +193,10 @@
                 "the deadline passed before a server was free",
             ));
         }
+        if self.sent == 0 && self.host.now() >= self.work.patience {
+            let text = "no server is free in time";
+            return Err(Fail::new(Kind::Overloaded, text).retry_after(COME_BACK));
+        }
         self.sink.check().map_err(|fail| self.unsent(fail))
     }
 
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -25,10 +25,10 @@
 }
 
 /// An attempt under way.
-struct Try {
-    addr: SocketAddr,
-    began: Time,
-    first: Option<Time>,
+pub(super) struct Try {
+    pub(super) addr: SocketAddr,
+    pub(super) began: Time,
+    pub(super) first: Option<Time>,
 }
 
 impl<S: Sink> Run<'_, S> {
@@ -53,7 +53,10 @@
         host.timeline
             .note(Happening::Sent, &slot.id, None, &slot.server);
         let from = self.pos;
-        let result = self.stream(&slot, &mut attempt);
+        let result = match &self.work.request {
+            Some(request) => self.pass(&slot, &mut attempt, request),
+            None => self.stream(&slot, &mut attempt),
+        };
         slot.used = self.pos - from;
         let outcome = outcome(&attempt, &result);
         host.routes
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -4,6 +4,7 @@
 use crate::{
     error::{Fail, Kind, Res},
     kernel::Host,
+    pass::{Event, Head},
     retry::{self, Next},
     timeline::Happening,
     wire::{Answer, Class, Name, Work},
@@ -18,6 +19,34 @@
     /// Nobody wants the rest of the answer.
     fn token(&mut self, pos: u32, text: &str) -> Res<()>;
 
+    /// Takes the head of a server's answer that is an event stream; called again when another server
+    /// goes on with it.
+    ///
+    /// # Errors
+    /// Nobody wants the answer.
+    fn begin(&mut self, _head: &Head) -> Res<()> {
+        Ok(())
+    }
+
+    /// Takes an event of an answer that is passed back unchanged.
+    ///
+    /// # Errors
+    /// Nobody wants the rest of the answer.
+    fn event(&mut self, _event: &Event) -> Res<()> {
+        self.check()
+    }
+
+    /// Takes a whole answer that is no event stream.
+    ///
+    /// # Errors
+    /// Nobody wants the answer.
+    fn whole(&mut self, _head: &Head, _body: &[u8]) -> Res<()> {
+        Ok(())
+    }
+
+    /// Takes a server's answer that it failed or refuses. Another server may do better.
+    fn failed(&mut self, _head: &Head, _body: &[u8]) {}
+
     /// Called once, right before the work is sent for the first time.
     ///
     /// # Errors
@@ -49,6 +78,8 @@
     pub(super) pos: u32,
     /// Attempts that got a slot; makes the id of each one unique.
     pub(super) count: u32,
+    /// Attempts at servers that may have run the work.
+    pub(super) sent: u32,
     /// Whether the sink admitted the work.
     pub(super) admitted: bool,
     /// Failed attempts.
@@ -74,8 +105,9 @@
         work,
         sink,
         text: String::new(),
-        pos: 0,
+        pos: work.request.as_ref().map_or(0, |r| r.after),
         count: 0,
+        sent: 0,
         admitted: false,
         fails: 0,
         tried: Vec::new(),
@@ -108,7 +140,17 @@
     /// Goes on after a failed attempt, or ends with its failure.
     fn recover(&mut self, fail: Fail) -> Res<()> {
         self.fails += 1;
-        let next = retry::decide(fail.kind, self.work.repeatable, self.fails);
+        let next = match &self.work.request {
+            Some(request) => {
+                let may_send = match self.work.class {
+                    Class::Online => self.sent < request.attempts,
+                    // Each answer of a batch item that a server failed is counted by its job.
+                    Class::Batch => fail.kind != Kind::ServerFailed,
+                };
+                retry::decide_passed(fail.kind, self.work.repeatable, self.fails, may_send)
+            }
+            None => retry::decide(fail.kind, self.work.repeatable, self.fails),
+        };
         let again = next == Next::Again && self.host.routes.take_retry();
         if !again {
             return Err(self.settle(fail));
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -5,6 +5,7 @@
 mod choose;
 mod dispatch;
 mod health;
+mod passing;
 mod state;
 mod wait;
 
--- /dev/null
+++ b/src/route/passing.rs
@@ -0,0 +1,243 @@
+//! An attempt that passes a request on unchanged, and its answer back.
+
+use super::{
+    attempt::{Stop, Try},
+    dispatch::{Run, Sink},
+};
+use crate::{
+    error::{Fail, Kind, Res},
+    gate::Slot,
+    pass::{Conn, Event, Events, Head, ReadError, Request, Sending, Verdict},
+    timeline::Happening,
+    wire::{Answer, Class},
+};
+use std::{fmt::Write, time::Duration};
+
+/// Longest time to connect to a server.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Longest wait for a server between two looks at whether the answer is still wanted.
+const POLL: Duration = Duration::from_millis(100);
+/// Silence of a server after which a request that may be repeated goes on elsewhere. Callers leave
+/// after two seconds of silence, so that there is time for another server.
+const SILENCE: Duration = Duration::from_millis(800);
+/// Longest body of an answer that is no event stream, in bytes.
+const WHOLE_MAX: usize = 16 << 20;
+
+impl<S: Sink> Run<'_, S> {
+    /// Passes `request` to the slot's server, from the event after the last one passed back.
+    pub(super) fn pass(
+        &mut self,
+        slot: &Slot,
+        attempt: &mut Try,
+        request: &Request,
+    ) -> Result<Answer, Stop> {
+        let host = self.host;
+        let Some(dialect) = host.dialect else {
+            let text = "the servers of this host take no requests unchanged";
+            return Err(Stop::Unwanted(Fail::new(Kind::Internal, text)));
+        };
+        let left = self.work.deadline.saturating_sub(host.now());
+        let mut conn = Conn::open(attempt.addr, CONNECT.min(left)).map_err(|e| {
+            Stop::Failed(Fail::new(Kind::Unreachable, format!("backend server: {e}")))
+        })?;
+        let entered = host.passing.enter(&slot.id, conn.socket());
+        let workspace = &*self.work.workspace;
+        let sending = Sending {
+            request,
+            server: &slot.server,
+            workspace: (!workspace.is_empty()).then_some(workspace),
+            left: self.work.deadline.saturating_sub(host.now()),
+            after: self.pos,
+        };
+        let fields = (dialect.fields)(&sending);
+        self.sent += 1;
+        conn.send(&head_text(request, &fields), &request.body)
+            .map_err(|e| self.lost(&format!("the request was cut: {e}"), entered.is_ended()))?;
+        let mut silent = Duration::ZERO;
+        let head = loop {
+            match conn.head(POLL) {
+                Ok(head) => break head,
+                Err(ReadError::Quiet) => self.keep_waiting(&mut silent, entered.is_ended())?,
+                Err(ReadError::Broken(text)) => return Err(self.lost(&text, entered.is_ended())),
+            }
+        };
+        match (dialect.read)(&head, &request.id) {
+            Verdict::Ours => {}
+            Verdict::NotRun => {
+                self.sent -= 1;
+                let text = format!("the server answered {} and did not run it", head.status);
+                return Err(Stop::Failed(Fail::new(Kind::ServerFull, text)));
+            }
+            Verdict::Foreign => {
+                let text = "the answer belongs to another request";
+                return Err(Stop::Failed(Fail::new(Kind::BrokenAnswer, text)));
+            }
+        }
+        let is_stream = head
+            .field("content-type")
+            .is_some_and(|t| t.starts_with("text/event-stream"));
+        let mut ended = || entered.is_ended();
+        if head.status == 200 && is_stream {
+            return self.events(slot, attempt, &mut conn, &head, &mut ended);
+        }
+        self.whole(slot, &mut conn, &head, &mut ended)
+    }
+
+    fn events(
+        &mut self,
+        slot: &Slot,
+        attempt: &mut Try,
+        conn: &mut Conn,
+        head: &Head,
+        ended: &mut impl FnMut() -> bool,
+    ) -> Result<Answer, Stop> {
+        let mut events = Events::default();
+        let mut silent = Duration::ZERO;
+        loop {
+            let more = match conn.read(POLL, events.buffer()) {
+                Ok(more) => more,
+                Err(ReadError::Quiet) => {
+                    self.keep_waiting(&mut silent, ended())?;
+                    continue;
+                }
+                Err(ReadError::Broken(text)) => return Err(self.lost(&text, ended())),
+            };
+            silent = Duration::ZERO;
+            loop {
+                let event = match events.next() {
+                    Ok(Some(event)) => event,
+                    Ok(None) => break,
+                    Err(_) => return Err(broken("an event of the answer is not valid")),
+                };
+                if attempt.first.is_none() {
+                    attempt.first = Some(self.host.now());
+                    let timeline = &self.host.timeline;
+                    timeline.note(Happening::FirstToken, &slot.id, None, &slot.server);
+                }
+                self.pass_event(head, &event)?;
+            }
+            if !more {
+                if events.is_torn() {
+                    return Err(self.lost("the answer ended in the middle of an event", ended()));
+                }
+                self.sink.begin(head).map_err(Stop::Unwanted)?;
+                return Ok(self.answer(slot));
+            }
+        }
+    }
+
+    fn pass_event(&mut self, head: &Head, event: &Event) -> Result<(), Stop> {
+        if self.host.now() >= self.work.deadline {
+            let text = "the deadline passed while a server was at work";
+            return Err(Stop::Unwanted(Fail::new(Kind::ExpiredRunning, text)));
+        }
+        if let Some(id) = event.id {
+            if id != self.pos + 1 {
+                let text = format!("event {id} came after event {}", self.pos);
+                return Err(broken(&text));
+            }
+            self.pos = id;
+        }
+        if self.work.class == Class::Batch {
+            if !self.text.is_empty() {
+                self.text.push('\n');
+            }
+            self.text += &event.data;
+        }
+        self.sink
+            .begin(head)
+            .and_then(|()| self.sink.event(event))
+            .map_err(Stop::Unwanted)
+    }
+
+    /// Reads an answer that is no event stream.
+    fn whole(
+        &mut self,
+        slot: &Slot,
+        conn: &mut Conn,
+        head: &Head,
+        ended: &mut impl FnMut() -> bool,
+    ) -> Result<Answer, Stop> {
+        let mut body = Vec::new();
+        let mut silent = Duration::ZERO;
+        loop {
+            match conn.read(POLL, &mut body) {
+                Ok(false) => break,
+                Ok(true) if body.len() <= WHOLE_MAX => silent = Duration::ZERO,
+                Ok(true) => return Err(broken("the answer is too long")),
+                Err(ReadError::Quiet) => self.keep_waiting(&mut silent, ended())?,
+                Err(ReadError::Broken(text)) => return Err(self.lost(&text, ended())),
+            }
+        }
+        if head.status < 400 {
+            self.sink.whole(head, &body).map_err(Stop::Unwanted)?;
+            return Ok(self.answer(slot));
+        }
+        self.sink.failed(head, &body);
+        let text = format!("the server answered {}", head.status);
+        match head.status {
+            500.. => Err(Stop::Failed(Fail::new(Kind::ServerFailed, text))),
+            _ => Err(Stop::Unwanted(Fail::new(Kind::ServerRefused, text))),
+        }
+    }
+
+    fn answer(&mut self, slot: &Slot) -> Answer {
+        Answer {
+            text: std::mem::take(&mut self.text),
+            tokens: self.pos,
+            server: slot.server.clone(),
+        }
+    }
+
+    /// Looks whether the answer is still wanted, and whether the server was silent for too long.
+    fn keep_waiting(&mut self, silent: &mut Duration, is_ended: bool) -> Result<(), Stop> {
+        if is_ended {
+            return Err(self.lost("", true));
+        }
+        self.wanted().map_err(Stop::Unwanted)?;
+        *silent += POLL;
+        if self.work.repeatable && *silent >= SILENCE {
+            return Err(self.lost("the server is silent", false));
+        }
+        Ok(())
+    }
+
+    fn wanted(&mut self) -> Res<()> {
+        if self.host.now() >= self.work.deadline {
+            let text = "the deadline passed while a server was at work";
+            return Err(Fail::new(Kind::ExpiredRunning, text));
+        }
+        self.sink.check()
+    }
+
+    /// Why an attempt ended early: batch work gave way, or the server failed.
+    fn lost(&self, text: &str, is_ended: bool) -> Stop {
+        if is_ended && self.work.class == Class::Batch {
+            return Stop::Evicted;
+        }
+        Stop::Failed(Fail::new(Kind::ServerLost, text))
+    }
+}
+
+fn broken(text: &str) -> Stop {
+    Stop::Failed(Fail::new(Kind::BrokenAnswer, text))
+}
+
+fn head_text(request: &Request, fields: &[(&'static str, String)]) -> String {
+    let mut text = format!(
+        "{} {} HTTP/1.1\r\nHost: {}\r\n",
+        request.method, request.target, request.host
+    );
+    let passed = request.fields.iter().map(|(n, v)| (&**n, &**v));
+    let set = fields.iter().map(|(n, v)| (*n, v.as_str()));
+    for (name, value) in passed.chain(set) {
+        // Writing to a string does not fail.
+        let _ = write!(text, "{name}: {value}\r\n");
+    }
+    let has_body = !request.body.is_empty() || !matches!(&*request.method, "GET" | "HEAD" | "DELETE");
+    if has_body {
+        let _ = write!(text, "Content-Length: {}\r\n", request.body.len());
+    }
+    text += "Connection: close\r\n\r\n";
+    text
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -20,6 +20,8 @@
     pub peer: SocketAddr,
     /// Address for operators.
     pub control: SocketAddr,
+    /// Address of a port for the balancer's question whether the host is ready, if there is one.
+    pub ready: Option<SocketAddr>,
     /// SHA-256 of the operators' token in hexadecimal; none where every process of the machine may
     /// operate the fleet.
     pub token: Option<Name>,
@@ -92,6 +94,7 @@
             caller: r.addr("listen", "caller"),
             peer: r.reachable("listen", "peer"),
             control,
+            ready: r.addr_if_any("listen", "ready"),
             token,
             log: r.url("platform", "log"),
             list: r.url("platform", "list"),
--- a/src/snapshot/store.rs
+++ b/src/snapshot/store.rs
@@ -4,7 +4,7 @@
 use crate::{
     error::{Fail, Kind, Res},
     fold::Fold,
-    platform::{AppendError, Log},
+    store::{AppendError, Log},
     wire::Name,
 };
 use std::time::Duration;
--- a/src/platform/mod.rs
+++ b/src/store/mod.rs
@@ -1,4 +1,4 @@
-//! The platform's log and host list, as small traits and over HTTP.
+//! The durable store: the log and the host list, as small traits and over HTTP.
 
 mod http;
 
@@ -6,7 +6,7 @@
 
 use crate::{error::Res, wire::Peer};
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{fmt, sync::Arc, time::Duration};
 
 /// A record of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -53,6 +53,26 @@
     fn read(&self, stream: &str, from: u64, wait: Duration) -> Res<Page>;
 }
 
+/// The log of the store that the host was started with.
+#[derive(Clone)]
+pub struct SharedLog(pub Arc<dyn Log>);
+
+impl fmt::Debug for SharedLog {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SharedLog")
+    }
+}
+
+impl Log for SharedLog {
+    fn append(&self, stream: &str, bytes: &[u8]) -> Result<u64, AppendError> {
+        self.0.append(stream, bytes)
+    }
+
+    fn read(&self, stream: &str, from: u64, wait: Duration) -> Res<Page> {
+        self.0.read(stream, from, wait)
+    }
+}
+
 /// What the host list says of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -86,3 +106,23 @@
     /// The list cannot be reached.
     fn list(&self) -> Res<Vec<Listed>>;
 }
+
+/// The host list of the store that the host was started with.
+#[derive(Clone)]
+pub struct SharedHosts(pub Arc<dyn Hosts>);
+
+impl fmt::Debug for SharedHosts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SharedHosts")
+    }
+}
+
+impl Hosts for SharedHosts {
+    fn announce(&self, listed: &Listed) -> Res<()> {
+        self.0.announce(listed)
+    }
+
+    fn list(&self) -> Res<Vec<Listed>> {
+        self.0.list()
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,6 +1,6 @@
 //! Types that several roles share: names, classes of work, work and its answer.
 
-use crate::clock::Time;
+use crate::{clock::Time, pass::Request};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc};
 
@@ -38,6 +38,10 @@
     pub repeatable: bool,
     /// Time on the host's clock after which nobody waits for the answer.
     pub deadline: Time,
+    /// Time on the host's clock until which it waits for a slot of a server.
+    pub patience: Time,
+    /// What to pass on unchanged; none for a generation of this product's own interface.
+    pub request: Option<Arc<Request>>,
 }
 
 /// A whole answer.
--- a/standin/src/list.rs
+++ b/standin/src/list.rs
@@ -4,7 +4,7 @@
     Switch,
     port::{Port, port_methods},
 };
-use gooseberrytack::{http::Exchange, platform::Listed};
+use gooseberrytack::{http::Exchange, store::Listed};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, VecDeque},
--- a/standin/src/log.rs
+++ b/standin/src/log.rs
@@ -6,7 +6,7 @@
 };
 use gooseberrytack::{
     http::Exchange,
-    platform::{Entry, Page},
+    store::{Entry, Page},
 };
 use serde::{Deserialize, Serialize};
 use std::{
--- a/tests/batch_decisions.rs
+++ b/tests/batch_decisions.rs
@@ -29,6 +29,7 @@
         prompt: "p".into(),
         tokens: 10,
         repeatable: i.is_multiple_of(2),
+        request: None,
     };
     let asks = (0..items).map(|i| Arc::new(ask(i))).collect();
     let upload: Arc<str> = format!("u-{name}").into();
--- a/tests/batch_streams.rs
+++ b/tests/batch_streams.rs
@@ -5,7 +5,7 @@
     error::Kind,
     http::{Bounds, Reply, Server},
     kernel::Host,
-    platform::{Listed, Standing},
+    store::{Listed, Standing},
     timeline::{Event, Happening},
     wire::Peer,
 };
--- a/tests/config_in_force.rs
+++ b/tests/config_in_force.rs
@@ -6,7 +6,7 @@
     error::Res,
     fold::{Fold, Follower, pos},
     kernel::Host,
-    platform::{AppendError, Entry, Log, Page},
+    store::{AppendError, Entry, Log, Page},
     settings::Settings,
 };
 use serde_bytes::ByteBuf;
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -19,7 +19,7 @@
         place, share, slots,
     },
     member::{ListView, Ring},
-    platform::{Listed, Standing},
+    store::{Listed, Standing},
     wire::Peer,
 };
 use rand::{Rng, SeedableRng};
--- a/tests/fleet_fair/sim.rs
+++ b/tests/fleet_fair/sim.rs
@@ -105,6 +105,7 @@
                     prompt: "p".into(),
                     tokens: 20 + (workspace as u32 * 37 + i * 53) % 40,
                     repeatable: true,
+                    request: None,
                 })
             });
             let upload: Name = format!("u{workspace}").into();
--- a/tests/fold_settle.rs
+++ b/tests/fold_settle.rs
@@ -4,7 +4,7 @@
     clock::SystemClock,
     error::{Kind, Res},
     fold::{Fold, Follower, Pos},
-    platform::{AppendError, Log, Page},
+    store::{AppendError, Log, Page},
 };
 use serde::{Deserialize, Serialize};
 use std::{
--- a/tests/history/mod.rs
+++ b/tests/history/mod.rs
@@ -108,6 +108,7 @@
         prompt: "p".into(),
         tokens: 1,
         repeatable: is_repeatable(index),
+        request: None,
     })
 }
 
--- a/tests/job_expiry.rs
+++ b/tests/job_expiry.rs
@@ -19,6 +19,7 @@
         prompt: "p".into(),
         tokens: 1,
         repeatable: true,
+        request: None,
     };
     Record::Piece {
         upload: upload.into(),
--- a/tests/job_explore.rs
+++ b/tests/job_explore.rs
@@ -71,6 +71,7 @@
             prompt: "p".into(),
             tokens: 1,
             repeatable,
+            request: None,
         };
         world.append(Record::Piece {
             upload: "u".into(),
--- a/tests/member_place.rs
+++ b/tests/member_place.rs
@@ -2,7 +2,7 @@
 
 use gooseberrytack::{
     member::{ListView, Probes, Ring},
-    platform::{Listed, Standing},
+    store::{Listed, Standing},
     wire::Peer,
 };
 use std::time::Duration;
--- a/tests/member_reach.rs
+++ b/tests/member_reach.rs
@@ -3,7 +3,7 @@
 use gooseberrytack::{
     clock::Time,
     member::{Heard, ListView, Reach, Touch, reach_span},
-    platform::{Listed, Standing},
+    store::{Listed, Standing},
     wire::{Name, Peer},
 };
 use std::time::Duration;
--- a/tests/online_answers.rs
+++ b/tests/online_answers.rs
@@ -38,6 +38,8 @@
         class: Class::Online,
         repeatable,
         deadline: harness.host(0).now() + Duration::from_secs(30),
+        patience: harness.host(0).now() + Duration::from_secs(30),
+        request: None,
     }
 }
 
--- a/tests/online_priority.rs
+++ b/tests/online_priority.rs
@@ -61,6 +61,8 @@
                 class: Class::Batch,
                 repeatable: true,
                 deadline: host.now() + Duration::from_secs(60),
+                patience: host.now() + Duration::from_secs(60),
+                request: None,
             };
             match dispatch(&host, &work, &mut Quiet) {
                 Ok(answer) => return answer,
--- a/tests/snapshot_store.rs
+++ b/tests/snapshot_store.rs
@@ -5,7 +5,7 @@
     clock::SystemClock,
     error::Res,
     fold::{Fold, Follower, Pos},
-    platform::{AppendError, Entry, Log, Page},
+    store::{AppendError, Entry, Log, Page},
     settings::Settings,
     snapshot::{Due, Look, Snapshot, chunks_of, load, stream_of, write},
     wire::Name,
--- a/tests/standin_ends.rs
+++ b/tests/standin_ends.rs
@@ -4,7 +4,7 @@
     engine::{Action, End, EngineClient, Generate, LoadedModel, Order},
     error::Kind,
     http::{Client, Timeouts},
-    platform::{AppendError, Hosts, HttpHosts, HttpLog, Listed, Log, Standing},
+    store::{AppendError, Hosts, HttpHosts, HttpLog, Listed, Log, Standing},
     wire::Peer,
 };
 use standin::{
