Each host spends a part of a workspace's rate on its own; a new start takes its host's rate slots over

Requests that are passed on wait a quarter of their objective for a token. Tasks rest on a condition instead of waking every 20 ms.

--- a/examples/batch_measure.rs
+++ b/examples/batch_measure.rs
@@ -10,8 +10,8 @@
     http::Client,
     job::{Ask, Commit, Ended, Outcome, PartRef, Record, State},
     lease::{append_interval, lease_span},
-    store::HttpLog,
     snapshot::{Snapshot, write},
+    store::HttpLog,
     wire::Name,
 };
 use serde_bytes::Bytes;
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -79,4 +79,4 @@
 }
 
 /// Longest time between two looks at the folded state.
-const LOOK: Time = Time::from_millis(20);
+const LOOK: Time = Time::from_millis(50);
--- a/src/batch/passed.rs
+++ b/src/batch/passed.rs
@@ -46,9 +46,17 @@
             return Err(Fail::new(Kind::RateLimited, text).retry_after(COME_BACK));
         }
     }
-    let lag = host.config.progress().fresh.map(|f| host.now().saturating_sub(f));
+    let lag = host
+        .config
+        .progress()
+        .fresh
+        .map(|f| host.now().saturating_sub(f));
     if lag.is_none_or(|l| l > LAG_MAX) {
-        tracing::info!(id = &*job.id, lag_ms = lag.map(|l| l.as_millis() as u64), "submit_while_behind");
+        tracing::info!(
+            id = &*job.id,
+            lag_ms = lag.map(|l| l.as_millis() as u64),
+            "submit_while_behind"
+        );
     }
     ask(host, slot, &Order::Create(job))?.job().map(|_| ())
 }
--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -193,7 +193,10 @@
         .view(|c| pass_route(c, &request.host, path).cloned());
     match route {
         Some(route) => Ok(route.target(&request.id)),
-        None => Err(Fail::new(Kind::NotFound, "the route of the item was removed")),
+        None => Err(Fail::new(
+            Kind::NotFound,
+            "the route of the item was removed",
+        )),
     }
 }
 
--- a/src/config/types.rs
+++ b/src/config/types.rs
@@ -219,7 +219,10 @@
             }
             at -= weight;
         }
-        self.targets.last().map(|t| t.service.clone()).unwrap_or_default()
+        self.targets
+            .last()
+            .map(|t| t.service.clone())
+            .unwrap_or_default()
     }
 }
 
--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -8,8 +8,8 @@
 use crate::{
     clock::{Clock, Time},
     error::{Fail, Kind, Res},
-    store::{AppendError, Log, Page},
     snapshot,
+    store::{AppendError, Log, Page},
     wire::Name,
 };
 use std::{
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -18,10 +18,10 @@
     once::Calls,
     order::Orders,
     pass::{Dialect, Registry},
-    store::{HttpHosts, HttpLog, SharedHosts, SharedLog},
     route::Routes,
     settings::Settings,
     snapshot::Snapshots,
+    store::{HttpHosts, HttpLog, SharedHosts, SharedLog},
     timeline::{Happening, Timeline},
     wire::{Name, Peer},
 };
@@ -30,7 +30,7 @@
     io,
     net::{SocketAddr, UdpSocket},
     sync::{
-        Arc, Mutex, OnceLock,
+        Arc, Condvar, Mutex, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -48,9 +48,6 @@
 /// Follower of the calls that run at most once.
 pub type CallsFollower = Follow<Calls>;
 
-/// Longest sleep of a task's thread without a look at whether the host stops.
-const NAP: Duration = Duration::from_millis(20);
-
 /// What a host talks to beside callers and peers.
 #[derive(Debug, Clone)]
 pub struct Edges {
@@ -141,6 +138,8 @@
     pub dialect: Option<&'static Dialect>,
     stopping: AtomicBool,
     dead: AtomicBool,
+    /// Wakes the tasks that rest when the host is dead.
+    ended: (Mutex<()>, Condvar),
     servers: Mutex<Vec<Server>>,
 }
 
@@ -164,11 +163,7 @@
     ) -> io::Result<Arc<Self>> {
         let clock = SystemClock::new();
         let client = Client::new();
-        let Edges {
-            log,
-            list,
-            outside,
-        } = edges(&client);
+        let Edges { log, list, outside } = edges(&client);
         let face = outside.map(|o| o.face);
         let peer_bounds = Bounds {
             idle: Duration::from_secs(60),
@@ -179,7 +174,9 @@
         let caller = listen(settings.caller, settings.bounds, Port::Caller, &slot, face)?;
         let peer = listen(settings.peer, peer_bounds, Port::Peer, &slot, None)?;
         let control = listen(settings.control, peer_bounds, Port::Control, &slot, None)?;
-        let ready = settings.ready.map(|a| listen(a, peer_bounds, Port::Ready, &slot, None));
+        let ready = settings
+            .ready
+            .map(|a| listen(a, peer_bounds, Port::Ready, &slot, None));
         let ready = ready.transpose()?;
         let me = Peer {
             name: start_name(&settings.name),
@@ -194,7 +191,7 @@
             members: Members::new(&me, &settings),
             gates: Gates::default(),
             routes: Routes::new(settings.retries),
-            limits: Limits::default(),
+            limits: Limits::new(&settings),
             keys: Keys::default(),
             batch: Batch::new(&relay, &clock, &settings),
             snapshots: Snapshots::default(),
@@ -210,6 +207,7 @@
             dialect: outside.map(|o| o.dialect),
             stopping: AtomicBool::new(false),
             dead: AtomicBool::new(false),
+            ended: Default::default(),
             servers: Mutex::new([caller, control, peer].into_iter().chain(ready).collect()),
             settings,
             me,
@@ -266,6 +264,19 @@
         last.is_some_and(|t| self.now().saturating_sub(t) < self.members.span())
     }
 
+    /// Rests for `span`, or until the host is dead.
+    fn rest(&self, span: Duration) {
+        if span.is_zero() {
+            return;
+        }
+        let rest = self.ended.0.lock().expect("end");
+        let rest = self
+            .ended
+            .1
+            .wait_timeout_while(rest, span, |()| !self.is_dead());
+        drop(rest.expect("end"));
+    }
+
     /// Open connections and requests under way, over all ports.
     pub fn load(&self) -> (usize, usize) {
         let servers = self.servers.lock().expect("servers");
@@ -300,7 +311,10 @@
 
     /// Ends everything at once, as a lost host would.
     pub fn kill(&self) {
+        let rest = self.ended.0.lock().expect("end");
         self.dead.store(true, Ordering::Relaxed);
+        self.ended.1.notify_all();
+        drop(rest);
         self.client.close();
         self.config.stop();
         self.batch.streams.kill();
@@ -379,10 +393,7 @@
         .spawn(move || {
             while !host.is_dead() {
                 (task.run)(&host);
-                let due = host.now() + task.every;
-                while !host.is_dead() && host.now() < due {
-                    host.clock.sleep(NAP.min(due.saturating_sub(host.now())));
-                }
+                host.rest(task.every);
             }
         })?;
     Ok(())
--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -1,15 +1,16 @@
 //! Where requests get their tokens.
 
 use super::{
-    Ask, Balance, Lender, Lending, Place, Step, Token,
+    Ask, Balance, Division, Lender, Lending, Own, Place, Proof, Step, Token,
     call::{Borrow, Claimed, lend_here},
-    place,
+    divide, place,
 };
 use crate::{
     clock::Time,
     config::Workspace,
     error::{Fail, Kind, Res},
     kernel::Host,
+    settings::Settings,
     wire::Name,
 };
 use std::{
@@ -24,12 +25,23 @@
 const ASK_LIMIT: Duration = Duration::from_millis(300);
 /// Longest time that a request waits while some slot has no holder.
 const PATIENCE: Duration = Duration::from_millis(1500);
+/// Least time to come back when no lender can be reached: a host's own part gives a token about that
+/// often, and lenders are asked again after a tenth of a second.
+const COME_BACK: Duration = Duration::from_millis(400);
 /// Longest wait for another request's loan before a new look.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Time from the start of the host's clock to the first token of its own part: the other hosts read
+/// the list every second and have made room for it by then.
+const OWN_WAIT: Duration = Duration::from_secs(3);
+/// Number in place of a loan's for a token of the host's own part.
+const OWN_SEQ: u64 = u64::MAX;
+
 /// Rate tokens of one host.
 #[derive(Debug, Default)]
 pub struct Limits {
+    /// Part of the rates that the hosts have on their own, in hundredths.
+    own: u32,
     /// Sorted by workspace.
     accounts: RwLock<Vec<Arc<Account>>>,
     pub(super) lender: Mutex<Lender>,
@@ -41,6 +53,7 @@
 struct Account {
     workspace: Name,
     balance: Mutex<Balance>,
+    own: Mutex<Own>,
     moved: Condvar,
     waiting: AtomicU32,
 }
@@ -54,13 +67,41 @@
 }
 
 impl Limits {
+    /// No tokens yet, by the settings.
+    pub fn new(settings: &Settings) -> Self {
+        let limits = Self {
+            own: settings.own,
+            ..Self::default()
+        };
+        limits.lender.lock().expect("lender").proof = Proof::lasting(settings.proof);
+        limits
+    }
+
+    /// How the rate of `workspace` is divided now.
+    pub(super) fn division(&self, host: &Host, workspace: &Workspace) -> Division {
+        divide(workspace, host.members.ring().peers().len(), self.own)
+    }
+
     /// Takes a token of `workspace`.
     ///
     /// # Errors
     /// `RateLimited` with the time to come back.
     pub fn reserve(&self, host: &Arc<Host>, workspace: &Name) -> Res<Permit> {
+        self.reserve_within(host, workspace, PATIENCE)
+    }
+
+    /// As `reserve`, for a request that waits at most `patience` while some slot has no holder.
+    ///
+    /// # Errors
+    /// `RateLimited` with the time to come back.
+    pub fn reserve_within(
+        &self,
+        host: &Arc<Host>,
+        workspace: &Name,
+        patience: Duration,
+    ) -> Res<Permit> {
         let account = self.account(workspace);
-        let token = account.take(host)?;
+        let token = account.take(host, patience)?;
         Ok(Permit {
             account,
             token: Some(token),
@@ -87,6 +128,7 @@
                 let account = Arc::new(Account {
                     workspace: workspace.clone(),
                     balance: Mutex::new(Balance::starting(rand::random())),
+                    own: Mutex::default(),
                     moved: Condvar::new(),
                     waiting: AtomicU32::new(0),
                 });
@@ -106,8 +148,11 @@
         loop {
             let token = match self.token.take() {
                 Some(token) => token,
-                None => self.account.take(host)?,
+                None => self.account.take(host, PATIENCE)?,
             };
+            if token.seq == OWN_SEQ {
+                return Ok(());
+            }
             let mut balance = self.account.balance.lock().expect("balance");
             if balance.confirm(token, host.now()) {
                 return Ok(());
@@ -122,6 +167,9 @@
         let Some(token) = self.token.take() else {
             return;
         };
+        if token.seq == OWN_SEQ {
+            return self.account.own.lock().expect("own part").put_back();
+        }
         self.account
             .balance
             .lock()
@@ -132,12 +180,15 @@
 }
 
 impl Account {
-    fn take(&self, host: &Arc<Host>) -> Res<Token> {
+    fn take(&self, host: &Arc<Host>, patience: Duration) -> Res<Token> {
         let since = host.now();
-        let end = since + PATIENCE;
+        let end = since + patience;
         self.balance.lock().expect("balance").arrive(since);
         loop {
             let workspace = self.declared(host)?;
+            if let Some(token) = self.take_own(host, &workspace) {
+                return Ok(token);
+            }
             let waiting = self.waiting.load(Ordering::Relaxed);
             let mut balance = self.balance.lock().expect("balance");
             let now = host.now();
@@ -149,19 +200,37 @@
                     self.borrow(host, &workspace, &ask);
                 }
                 Step::Wait => self.wait(balance, LOOK),
-                Step::Later(span) => self.wait(balance, span),
+                Step::Later(span) if now + span <= end => self.wait(balance, span),
+                Step::Later(span) => return Err(refused(&self.workspace, span)),
                 Step::Refuse { after, sure: true } => {
                     return Err(refused(&self.workspace, after));
                 }
                 Step::Refuse { .. } if now >= end => {
                     let text = "no host can lend a rate token now; send the request again";
-                    return Err(Fail::new(Kind::RateLimited, text));
+                    let fail = Fail::new(Kind::RateLimited, text);
+                    return Err(fail.retry_after(patience.max(COME_BACK)));
                 }
                 Step::Refuse { after, .. } => self.wait(balance, after.min(LOOK)),
             }
         }
     }
 
+    /// Takes a token of this host's own part. The others count this host in their division only once
+    /// they have read the list.
+    fn take_own(&self, host: &Host, workspace: &Workspace) -> Option<Token> {
+        let now = host.now();
+        let is_counted = host.members.announced().is_some() && now >= OWN_WAIT;
+        let rate = host.limits.division(host, workspace).own;
+        if !is_counted || rate == 0 {
+            return None;
+        }
+        let taken = self.own.lock().expect("own part").take(rate, now);
+        taken.then_some(Token {
+            seq: OWN_SEQ,
+            until: Time::MAX,
+        })
+    }
+
     fn declared(&self, host: &Host) -> Res<Workspace> {
         let found = host.config.view(|s| s.workspace(&self.workspace).cloned());
         found.ok_or_else(|| Fail::new(Kind::Unauthorized, "the workspace of the key was removed"))
--- a/src/limit/call.rs
+++ b/src/limit/call.rs
@@ -5,6 +5,7 @@
     clock::Time,
     config::Workspace,
     kernel::{Call, Host},
+    member::is_same_host,
     timeline::Happening,
     wire::Name,
 };
@@ -68,7 +69,7 @@
     let fresh = host.homes.progress().fresh;
     let slot = host.homes.view(|h| h.slot(&workspace.name, number));
     let mine = slot.host.as_ref() == Some(&host.me.name);
-    let declared = share(workspace, number);
+    let declared = share(&host.limits.division(host, workspace).lent, number);
     let mut lender = host.limits.lender.lock().expect("lender");
     if let Some(began) = fresh {
         lender.proof.log(began);
@@ -90,13 +91,18 @@
 /// Claims a slot that nobody holds, if this host is the one to take it.
 pub(super) fn claim(host: &Host, workspace: &Workspace, number: u32, slot: &Slot) {
     let now = host.now();
+    let succeeds = slot
+        .host
+        .as_ref()
+        .is_some_and(|holder| is_same_host(holder, &host.me.name));
     let free = slot
         .host
         .as_ref()
-        .is_none_or(|holder| host.members.is_gone(holder, now));
+        .is_none_or(|holder| succeeds || host.members.is_gone(holder, now));
     let read = host.homes.progress().fresh;
     let fresh = read.is_some_and(|f| now.saturating_sub(f) < PROOF_MAX);
-    if !free || !fresh || host.is_stopping() || !is_for_me(host, workspace, number) {
+    let is_mine = succeeds || is_for_me(host, workspace, number);
+    if !free || !fresh || host.is_stopping() || !is_mine {
         return;
     }
     if host.limits.note_claim(workspace, number, slot.epoch, now) {
--- a/src/limit/fold.rs
+++ b/src/limit/fold.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     fold::{Fold, Pos},
+    member::is_same_host,
     wire::Name,
 };
 use serde::{Deserialize, Serialize};
@@ -18,6 +19,10 @@
     pub epoch: Pos,
     /// Tokens with which its holder begins.
     pub left: u32,
+    /// Whether its holder is a new start of the host that held it before, and did so without a wait
+    /// for another holder.
+    #[serde(default)]
+    pub succeeded: bool,
     /// Whether its holder begins only after a wait, because an earlier one may still be lending.
     pub forced: bool,
     /// Burst of the workspace as its holder knew it when it took the slot.
@@ -138,11 +143,14 @@
                 // A slot that a larger burst adds must wait until the others know of their smaller
                 // shares.
                 let added = first && self.slots(workspace).iter().any(|s| s.differs(*burst));
+                let same = old.host.as_ref().is_some_and(|o| is_same_host(o, host));
+                let succeeded = same && !old.forced;
                 *self.slot_mut(workspace, *slot) = Slot {
                     host: Some(host.clone()),
                     epoch: at,
                     left: if first { u32::MAX } else { old.left },
-                    forced: old.host.is_some() || added,
+                    succeeded,
+                    forced: (old.host.is_some() && !succeeded) || added,
                     burst: *burst,
                 };
             }
--- a/src/limit/lend.rs
+++ b/src/limit/lend.rs
@@ -1,6 +1,6 @@
 //! The lending side: slots that this host holds.
 
-use super::{Bucket, CLAIM_WAIT, GROW_WAIT, LOAN_MAX, Proof, Record, Share, Slot};
+use super::{Bucket, CLAIM_WAIT, GROW_WAIT, LOAN_MAX, Proof, Record, SUCCEED_WAIT, Share, Slot};
 use crate::{
     clock::Time,
     fold::{Appended, Pos},
@@ -218,13 +218,19 @@
     /// A slot as it begins: full if nobody held it before, with what was left if it was released,
     /// or empty and only after the wait.
     fn new(workspace: &Name, number: u32, slot: &Slot, share: Share, now: Time) -> Self {
-        let (left, open) = if slot.forced {
-            (0, now + CLAIM_WAIT)
-        } else {
-            (slot.left, now)
+        let wait = match (slot.forced, slot.succeeded) {
+            (true, _) => Some(CLAIM_WAIT),
+            (false, true) => Some(SUCCEED_WAIT),
+            (false, false) => None,
         };
+        let (left, open) = wait.map_or((slot.left, now), |wait| (0, now + wait));
         let settled = open + LOAN_MAX + LOAN_MAX / 4;
-        let bucket = Bucket::new(share, left, now, if slot.forced { open } else { settled });
+        let bucket = Bucket::new(
+            share,
+            left,
+            now,
+            if wait.is_some() { open } else { settled },
+        );
         Self {
             workspace: workspace.clone(),
             slot: number,
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -11,6 +11,7 @@
 mod fold;
 mod home;
 mod lend;
+mod own;
 mod proof;
 mod split;
 mod task;
@@ -22,6 +23,7 @@
 pub use fold::{Homes, Record, Shares, Slot};
 pub use home::{Place, misplaced, place};
 pub use lend::{Lender, Lending, Report, Wish};
+pub use own::{Division, Own, divide};
 pub use proof::Proof;
 pub use split::{Share, share, slots};
 
@@ -33,6 +35,9 @@
 pub const LOAN_MIN: Duration = Duration::from_millis(50);
 /// Age of the last proof of holding a slot after which its holder stops lending.
 pub const PROOF_MAX: Duration = Duration::from_secs(3);
+/// Time from the accepted claim of a slot by a new start of its holder to the first token: the old
+/// start has ended, and what it lent is spent or over by then.
+pub const SUCCEED_WAIT: Duration = Duration::from_millis(1250);
 /// Time from the accepted claim of a slot that was not released to the first token; longer than
 /// `PROOF_MAX` and the longest loan with its margin.
 pub const CLAIM_WAIT: Duration = Duration::from_secs(5);
--- a/src/member/list.rs
+++ b/src/member/list.rs
@@ -113,3 +113,9 @@
         live
     }
 }
+
+/// Whether two names, each of one start of a daemon, are of the same host.
+pub fn is_same_host(one: &str, other: &str) -> bool {
+    let host = |name: &str| name.rsplit_once('.').map(|(host, _)| host.to_string());
+    host(one).is_some() && host(one) == host(other)
+}
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -10,7 +10,7 @@
 mod reach;
 mod task;
 
-pub use list::{ListView, Seen};
+pub use list::{ListView, Seen, is_same_host};
 pub use place::Ring;
 pub use probe::{Probe, Probes, Whoami};
 pub use reach::{Heard, Reach, ReachCall, Touch, reach_span};
--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -172,7 +172,10 @@
     if matches!(head.status, 204 | 304) {
         return Ok(Framing::Length(0));
     }
-    match (head.field("transfer-encoding"), head.field("content-length")) {
+    match (
+        head.field("transfer-encoding"),
+        head.field("content-length"),
+    ) {
         (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
         (Some(_), _) => Err(broken("the answer's framing is not valid")),
         (None, Some(text)) => text
--- a/src/pass/forward.rs
+++ b/src/pass/forward.rs
@@ -17,6 +17,11 @@
 /// Part of the objective for the first piece of an answer that a request may wait for a slot. One
 /// that waited longer is refused while its caller can still be served in time by another host.
 const PATIENCE: f64 = 0.8;
+/// Part of the objective that a request may wait for a rate token. One that is refused by then can
+/// still be served in time when it comes back.
+const TOKEN_PATIENCE: f64 = 0.25;
+/// Longest wait for a rate token.
+const TOKEN_WAIT_MAX: Duration = Duration::from_millis(250);
 /// Longest time that a request on a route without an objective waits for a slot.
 const PATIENCE_MAX: Duration = Duration::from_secs(1);
 
@@ -104,11 +109,16 @@
     let began = host.now();
     let id = arrival.request.id.clone();
     let limited = |c: &Caller| {
-        let rate = host.config.view(|s| s.workspace(&c.workspace).map(|w| w.rate));
+        let rate = host
+            .config
+            .view(|s| s.workspace(&c.workspace).map(|w| w.rate));
         rate.is_none_or(|r| r > 0)
     };
     let permit = match entry.caller.as_ref().filter(|c| limited(c)) {
-        Some(caller) => match auth::reserve(host, caller) {
+        Some(caller) => match host
+            .limits
+            .reserve_within(host, &caller.workspace, token_wait(entry))
+        {
             Ok(permit) => Some(permit),
             Err(fail) => {
                 refused(host, &id, &fail);
@@ -135,6 +145,14 @@
     host.served.refused(fail.kind);
 }
 
+/// Longest time that a request waits for a rate token.
+fn token_wait(entry: &Entry) -> Duration {
+    match entry.route.aim.is_zero() {
+        true => TOKEN_WAIT_MAX,
+        false => entry.route.aim.mul_f64(TOKEN_PATIENCE).min(TOKEN_WAIT_MAX),
+    }
+}
+
 fn work(entry: &Entry, arrival: Arrival, began: Time) -> Work {
     let route = &entry.route;
     let limit = arrival.limit.unwrap_or(route.timeout).min(route.timeout);
--- a/src/pass/sink.rs
+++ b/src/pass/sink.rs
@@ -76,9 +76,7 @@
             return Ok(());
         }
         match &self.failed {
-            Some((head, body))
-                if matches!(fail.kind, Kind::ServerFailed | Kind::ServerRefused) =>
-            {
+            Some((head, body)) if matches!(fail.kind, Kind::ServerFailed | Kind::ServerRefused) => {
                 self.exchange.send_with(head.status, &passed(head), body)
             }
             _ => super::fail(self.exchange, fail),
@@ -143,7 +141,10 @@
     }
 
     fn token(&mut self, _: u32, _: &str) -> Res<()> {
-        Err(Fail::new(Kind::Internal, "the answer has tokens in place of events"))
+        Err(Fail::new(
+            Kind::Internal,
+            "the answer has tokens in place of events",
+        ))
     }
 
     fn check(&mut self) -> Res<()> {
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -234,7 +234,8 @@
         // Writing to a string does not fail.
         let _ = write!(text, "{name}: {value}\r\n");
     }
-    let has_body = !request.body.is_empty() || !matches!(&*request.method, "GET" | "HEAD" | "DELETE");
+    let has_body =
+        !request.body.is_empty() || !matches!(&*request.method, "GET" | "HEAD" | "DELETE");
     if has_body {
         let _ = write!(text, "Content-Length: {}\r\n", request.body.len());
     }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -63,6 +63,10 @@
     pub quiet: Duration,
     /// Retries allowed for each hundred requests.
     pub retries: u64,
+    /// Part of each workspace's rate that the hosts may spend without a loan, in hundredths.
+    pub own: u32,
+    /// Age of the last proof of holding a rate slot after which its holder stops lending.
+    pub proof: Duration,
     /// Most models that the whole fleet begins to load in a minute.
     pub loads: u64,
     /// Longest time for an order to a backend server to take effect.
@@ -115,6 +119,8 @@
             waiting: r.number("limits", "waiting", 1, 1_000_000, 2_000) as usize,
             quiet: r.millis("limits", "quiet_ms", 100, 600_000, 5_000),
             retries: r.number("limits", "retries_percent", 0, 100, 10),
+            own: r.number("limits", "own_percent", 0, 90, 0) as u32,
+            proof: r.millis("limits", "proof_ms", 1_000, 10_000, 3_000),
             loads: r.number("orders", "loads_per_minute", 1, 1_000_000, 600),
             load: r.millis("orders", "load_ms", 100, 86_400_000, 600_000),
             events: r.number("timeline", "events", 100, 10_000_000, 20_000) as usize,
--- a/src/snapshot/task.rs
+++ b/src/snapshot/task.rs
@@ -33,7 +33,7 @@
 }
 
 /// Time between two looks at a stream.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_millis(500);
 
 /// The last snapshots of one host.
 #[derive(Debug, Default)]
--- a/tests/config_in_force.rs
+++ b/tests/config_in_force.rs
@@ -6,8 +6,8 @@
     error::Res,
     fold::{Fold, Follower, pos},
     kernel::Host,
-    store::{AppendError, Entry, Log, Page},
     settings::Settings,
+    store::{AppendError, Entry, Log, Page},
 };
 use serde_bytes::ByteBuf;
 use standin::{Harness, Plan, wait_for};
--- a/tests/snapshot_store.rs
+++ b/tests/snapshot_store.rs
@@ -5,9 +5,9 @@
     clock::SystemClock,
     error::Res,
     fold::{Fold, Follower, Pos},
-    store::{AppendError, Entry, Log, Page},
     settings::Settings,
     snapshot::{Due, Look, Snapshot, chunks_of, load, stream_of, write},
+    store::{AppendError, Entry, Log, Page},
     wire::Name,
 };
 use serde::{Deserialize, Serialize};
