--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -79,7 +79,7 @@
 
     /// How the rate of `workspace` is divided now.
     pub(super) fn division(&self, host: &Host, workspace: &Workspace) -> Division {
-        divide(workspace, host.members.ring().peers().len(), self.own)
+        divide(workspace, host.members.machines(), self.own)
     }
 
     /// Takes a token of `workspace`.
@@ -219,7 +219,11 @@
     /// they have read the list.
     fn take_own(&self, host: &Host, workspace: &Workspace) -> Option<Token> {
         let now = host.now();
-        let is_counted = host.members.announced().is_some() && now >= OWN_WAIT;
+        let is_counted = match host.members.announced() {
+            Some(_) => now >= OWN_WAIT || host.members.succeeds(),
+            None => false,
+        };
+        let is_counted = is_counted && host.members.fresh().is_some();
         let rate = host.limits.division(host, workspace).own;
         if !is_counted || rate == 0 {
             return None;
--- a/src/limit/bucket.rs
+++ b/src/limit/bucket.rs
@@ -52,6 +52,22 @@
     awaited: u128,
 }
 
+/// Validity of a loan: at the full rate, loans that are out take half of the room.
+fn valid(share: Share) -> Duration {
+    if share.rate == 0 {
+        return LOAN_MIN;
+    }
+    let fill = u128::from(share.burst) * TOKEN / u128::from(share.rate);
+    let half = u64::try_from(fill / 2).unwrap_or(u64::MAX);
+    Duration::from_nanos(half).clamp(LOAN_MIN, LOAN_MAX)
+}
+
+/// Longest time from a loan of a bucket with `share` to its last use, by the lender's clock.
+pub fn loan_span(share: Share) -> Duration {
+    let valid = valid(share);
+    valid + valid / 4
+}
+
 impl Bucket {
     /// A bucket with `left` tokens. Its other room is closed until `open`, for loans of an
     /// earlier holder that may still be out; without tokens it stays empty until then.
@@ -100,7 +116,7 @@
         if let Some(loan) = found {
             return (loan.count, loan.valid);
         }
-        let valid = self.valid();
+        let valid = valid(self.share);
         let whole = u32::try_from(self.level / TOKEN).unwrap_or(u32::MAX);
         let count = need.min(whole).max(want.min(whole / 2));
         if count == 0 {
@@ -114,7 +130,7 @@
             used: 0,
             back: 0,
             valid,
-            end: now + valid + valid / 4,
+            end: now + loan_span(self.share),
         });
         (count, valid)
     }
@@ -157,16 +173,6 @@
         u32::try_from(self.level / TOKEN).unwrap_or(u32::MAX)
     }
 
-    /// Validity of a loan: at the full rate, loans that are out take half of the room.
-    fn valid(&self) -> Duration {
-        if self.share.rate == 0 {
-            return LOAN_MIN;
-        }
-        let fill = u128::from(self.share.burst) * TOKEN / u128::from(self.share.rate);
-        let half = u64::try_from(fill / 2).unwrap_or(u64::MAX);
-        Duration::from_nanos(half).clamp(LOAN_MIN, LOAN_MAX)
-    }
-
     fn room(&self, now: Time) -> u128 {
         let closed = if now < self.closed.1 {
             self.closed.0
--- a/src/limit/lend.rs
+++ b/src/limit/lend.rs
@@ -1,6 +1,6 @@
 //! The lending side: slots that this host holds.
 
-use super::{Bucket, CLAIM_WAIT, GROW_WAIT, LOAN_MAX, Proof, Record, SUCCEED_WAIT, Share, Slot};
+use super::{Bucket, CLAIM_WAIT, GROW_WAIT, LOAN_MAX, Proof, Record, Share, Slot, loan_span};
 use crate::{
     clock::Time,
     fold::{Appended, Pos},
@@ -218,19 +218,16 @@
     /// A slot as it begins: full if nobody held it before, with what was left if it was released,
     /// or empty and only after the wait.
     fn new(workspace: &Name, number: u32, slot: &Slot, share: Share, now: Time) -> Self {
-        let wait = match (slot.forced, slot.succeeded) {
-            (true, _) => Some(CLAIM_WAIT),
-            (false, true) => Some(SUCCEED_WAIT),
+        let open = match (slot.forced, slot.succeeded) {
+            (true, _) => Some(now + CLAIM_WAIT),
+            // The earlier start of this host ended before this one's clock began to count.
+            (false, true) => Some(now.max(loan_span(share))),
             (false, false) => None,
         };
-        let (left, open) = wait.map_or((slot.left, now), |wait| (0, now + wait));
-        let settled = open + LOAN_MAX + LOAN_MAX / 4;
-        let bucket = Bucket::new(
-            share,
-            left,
-            now,
-            if wait.is_some() { open } else { settled },
-        );
+        let left = if open.is_some() { 0 } else { slot.left };
+        let settled = open.unwrap_or(now + LOAN_MAX + LOAN_MAX / 4);
+        let bucket = Bucket::new(share, left, now, settled);
+        let open = open.unwrap_or(now);
         Self {
             workspace: workspace.clone(),
             slot: number,
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -18,7 +18,7 @@
 
 pub use account::{Limits, Permit};
 pub use borrow::{Ask, Balance, Step, Token};
-pub use bucket::{Bucket, Loan};
+pub use bucket::{Bucket, Loan, loan_span};
 pub use call::Borrow;
 pub use fold::{Homes, Record, Shares, Slot};
 pub use home::{Place, misplaced, place};
@@ -35,9 +35,6 @@
 pub const LOAN_MIN: Duration = Duration::from_millis(50);
 /// Age of the last proof of holding a slot after which its holder stops lending.
 pub const PROOF_MAX: Duration = Duration::from_secs(3);
-/// Time from the accepted claim of a slot by a new start of its holder to the first token: the old
-/// start has ended, and what it lent is spent or over by then.
-pub const SUCCEED_WAIT: Duration = Duration::from_millis(1250);
 /// Time from the accepted claim of a slot that was not released to the first token; longer than
 /// `PROOF_MAX` and the longest loan with its margin.
 pub const CLAIM_WAIT: Duration = Duration::from_secs(5);
--- a/src/member/list.rs
+++ b/src/member/list.rs
@@ -26,6 +26,8 @@
 pub struct ListView {
     /// Hosts, sorted by name.
     hosts: Vec<Seen>,
+    /// Whether the first read showed an earlier start of this host.
+    pub(super) succeeds: bool,
     /// Start of the first read.
     first: Option<Time>,
     /// Start of the last read.
@@ -52,6 +54,22 @@
             .retain(|s| s.missing.is_none_or(|m| began.saturating_sub(m) < FORGET));
     }
 
+    /// Notes whether the first read shows an earlier start of the host `me`.
+    pub(super) fn note_first(&mut self, listed: &[Listed], me: &str) {
+        if self.first.is_none() {
+            let mut names = listed.iter().map(|l| &*l.peer.name);
+            self.succeeds = names.any(|n| n != me && is_same_host(n, me));
+        }
+    }
+
+    /// Number of hosts that the last read showed, several starts of one counted once.
+    pub(super) fn machines(&self) -> usize {
+        let listed = self.hosts.iter().filter(|s| s.missing.is_none());
+        let mut names: Vec<&str> = listed.map(|s| host_of(&s.peer.name)).collect();
+        names.dedup();
+        names.len()
+    }
+
     fn put(&mut self, seen: Seen) {
         match self.find(&seen.peer.name) {
             Ok(i) => self.hosts[i] = seen,
@@ -116,6 +134,10 @@
 
 /// Whether two names, each of one start of a daemon, are of the same host.
 pub fn is_same_host(one: &str, other: &str) -> bool {
-    let host = |name: &str| name.rsplit_once('.').map(|(host, _)| host.to_string());
-    host(one).is_some() && host(one) == host(other)
+    one.contains('.') && host_of(one) == host_of(other)
+}
+
+/// Name of the host in the name of one start of its daemon.
+fn host_of(name: &str) -> &str {
+    name.rsplit_once('.').map_or(name, |(host, _)| host)
 }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -96,6 +96,16 @@
         *self.announced.lock().expect("announced")
     }
 
+    /// Number of hosts that the last read showed, several starts of one counted once.
+    pub fn machines(&self) -> usize {
+        self.list.lock().expect("list").machines()
+    }
+
+    /// Whether the first read showed an earlier start of this host, so that the others count it.
+    pub fn succeeds(&self) -> bool {
+        self.list.lock().expect("list").succeeds
+    }
+
     /// Whether the last read showed the host as live or leaving.
     pub fn is_listed(&self, name: &str) -> bool {
         self.list.lock().expect("list").seen(name).is_some()
--- a/src/member/task.rs
+++ b/src/member/task.rs
@@ -47,6 +47,7 @@
 
     fn take_list(&self, host: &Host, listed: &[Listed], began: Time) {
         let mut list = self.list.lock().expect("list");
+        list.note_first(listed, &host.me.name);
         list.read(listed, began);
         let ring = Ring::new(list.live(&host.me, host.is_stopping()));
         drop(list);
--- a/src/pass/events.rs
+++ b/src/pass/events.rs
@@ -39,7 +39,7 @@
     ///
     /// # Errors
     /// The event is not valid.
-    pub fn next(&mut self) -> Result<Option<Event>, BadEvent> {
+    pub fn pop(&mut self) -> Result<Option<Event>, BadEvent> {
         let Some(end) = blank_line(&self.buffer) else {
             return match self.buffer.len() > EVENT_MAX {
                 true => Err(BadEvent),
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -104,7 +104,7 @@
             };
             silent = Duration::ZERO;
             loop {
-                let event = match events.next() {
+                let event = match events.pop() {
                     Ok(Some(event)) => event,
                     Ok(None) => break,
                     Err(_) => return Err(broken("an event of the answer is not valid")),
--- a/tests/pass_answers.rs
+++ b/tests/pass_answers.rs
@@ -72,7 +72,7 @@
         let _ = body.take(&bytes, &mut out);
         let mut events = Events::default();
         events.buffer().extend_from_slice(&bytes);
-        while let Ok(Some(_)) = events.next() {}
+        while let Ok(Some(_)) = events.pop() {}
     }
 
     #[test]
@@ -84,7 +84,7 @@
         while !rest.is_empty() {
             let size = sizes[turn % sizes.len()].clamp(1, rest.len());
             events.buffer().extend_from_slice(&rest[..size]);
-            while let Some(event) = events.next().expect("valid") {
+            while let Some(event) = events.pop().expect("valid") {
                 found.push(event);
             }
             rest = &rest[size..];
@@ -114,7 +114,7 @@
     events
         .buffer()
         .extend_from_slice(b"id: 1\ndata: x\n\nid: 2\nda");
-    assert!(events.next().expect("valid").is_some());
-    assert_eq!(events.next(), Ok(None));
+    assert!(events.pop().expect("valid").is_some());
+    assert_eq!(events.pop(), Ok(None));
     assert!(events.is_torn());
 }
