Hosts append and announce through peers while the store turns them away

What: RelayLog appends through a peer where the log certainly did not take the record; announcements likewise. A new start takes the batch parts of its host over at once; the job accepted first goes first.

--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -4,6 +4,7 @@
     clock::Time,
     job::{Part, PartRef, State},
     lease::Watch,
+    member::is_same_host,
     wire::Name,
 };
 use std::time::Duration;
@@ -118,7 +119,11 @@
                 epoch: part.epoch,
             };
             let since = self.free_since(&at).unwrap_or(view.now);
-            if (view.is_mine)(&at) || view.now.saturating_sub(since) >= HEAD_START {
+            let holder = part.holder.as_deref();
+            if holder.is_some_and(|h| is_same_host(h, view.me))
+                || (view.is_mine)(&at)
+                || view.now.saturating_sub(since) >= HEAD_START
+            {
                 found.push(Candidate {
                     workspace: &job.workspace,
                     at: at.clone(),
@@ -136,7 +141,9 @@
     fn is_loose<G: Fn(&str) -> bool, P, Q>(&self, view: &View<'_, G, P, Q>, part: &Part) -> bool {
         part.holder.as_ref().is_none_or(|holder| {
             **holder != *view.me
-                && (self.watch.is_lapsed(holder, view.now, view.span) || (view.is_gone)(holder))
+                // An earlier start of this host has ended.
+                && (is_same_host(holder, view.me)
+                    || self.watch.is_lapsed(holder, view.now, view.span) || (view.is_gone)(holder))
         })
     }
 
--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -3,7 +3,8 @@
 use super::{Loads, Rank, Verdict};
 use crate::{
     clock::Time,
-    job::{Ask, Ended, Outcome, Part, PartRef, State},
+    fold::Pos,
+    job::{Ask, Ended, Job, Outcome, Part, PartRef, State},
     lease::Lease,
     wire::Name,
 };
@@ -41,6 +42,8 @@
 struct Held {
     at: PartRef,
     workspace: Name,
+    /// Position of the commit of its job.
+    accepted: Pos,
     stop: Arc<AtomicBool>,
     queue: VecDeque<Queued>,
     running: u32,
@@ -134,7 +137,7 @@
                     epoch: part.epoch,
                 };
                 if let Err(slot) = self.parts.binary_search_by(|h| h.at.cmp(&at)) {
-                    let held = Held::new(at, job.workspace.clone(), part);
+                    let held = Held::new(at, job, part);
                     self.parts.insert(slot, held);
                 }
             }
@@ -193,7 +196,8 @@
         let loads = self.loads();
         let due = self.parts.iter().enumerate().filter(|(_, h)| h.is_due(now));
         due.filter_map(|(i, h)| Some((i, loads.rank(&h.workspace, weight(&h.workspace))?)))
-            .min_by_key(|(_, rank)| *rank)
+            // Of the workspace whose turn it is, the job that was accepted first.
+            .min_by_key(|(i, rank)| (*rank, self.parts[*i].accepted))
     }
 
     /// Notes that an item got a slot, or gave it up and waits for another.
@@ -309,7 +313,7 @@
 }
 
 impl Held {
-    fn new(at: PartRef, workspace: Name, part: &Part) -> Self {
+    fn new(at: PartRef, job: &Job, part: &Part) -> Self {
         let open = (0..part.items.len() as u32).filter_map(|i| Some((i, part.ask(i)?)));
         let queue = open.map(|(index, ask)| Queued {
             index,
@@ -320,7 +324,8 @@
         });
         Self {
             at,
-            workspace,
+            workspace: job.workspace.clone(),
+            accepted: job.at,
             stop: Arc::default(),
             queue: queue.collect(),
             running: 0,
--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -1,14 +1,15 @@
-//! Reads the log through other hosts while this one cannot reach it.
+//! Reads and appends to the log through other hosts while this one cannot reach it.
 
 use super::{Call, Host, Plugin, Port, Route, serve_call};
 use crate::{
     clock::Time,
-    error::Res,
+    error::{Ran, Res},
     http::Exchange,
     store::{AppendError, Log, Page, SharedLog},
     wire::{Name, Peer},
 };
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 use std::{
     io,
     sync::{Arc, Mutex, OnceLock},
@@ -27,7 +28,10 @@
 inventory::submit! {
     Plugin {
         name: "relay",
-        routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/log/read", handle: serve }],
+        routes: &[
+            Route { port: Port::Peer, method: "POST", path: "/peer/log/read", handle: serve_read },
+            Route { port: Port::Peer, method: "POST", path: "/peer/log/append", handle: serve_append },
+        ],
         tasks: &[],
         stop: |_| {},
     }
@@ -46,10 +50,34 @@
     const PATH: &'static str = "/peer/log/read";
 }
 
-/// The log; reads go through a peer while the log cannot be reached.
+/// Asks a host to append to the log.
+#[derive(Debug, Serialize, Deserialize)]
+struct AppendCall {
+    stream: Name,
+    bytes: ByteBuf,
+}
+
+/// What became of an append that a host made for another one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+enum AppendReply {
+    /// The log took it at this offset.
+    Taken(u64),
+    /// The log did not take it, and that is certain.
+    NotTaken(Name),
+    /// The log may have taken it.
+    Unknown(Name),
+}
+
+impl Call for AppendCall {
+    type Reply = AppendReply;
+    const PATH: &'static str = "/peer/log/append";
+}
+
+/// The log; calls go through a peer while the log cannot be reached.
 ///
 /// A peer answers from a read of the log that it makes for the call, so that a page is as fresh as
-/// one from the log itself. Appends never go through a peer: their outcome would be harder to know.
+/// one from the log itself. An append goes through a peer only where it is certain that the log did
+/// not take it before; an answer of the peer that is lost leaves its outcome unknown.
 #[derive(Debug, Clone)]
 pub struct RelayLog {
     log: SharedLog,
@@ -90,6 +118,15 @@
         result
     }
 
+    fn append_direct(&self, host: &Host, stream: &str, bytes: &[u8]) -> Result<u64, AppendError> {
+        let result = self.log.append(stream, bytes);
+        if let Err(error) = &result {
+            tracing::info!(stream, ?error, "append_failed");
+            self.state.lock().expect("backoff").log = host.now() + LOG_BACKOFF;
+        }
+        result
+    }
+
     fn read_relayed(&self, host: &Host, stream: &str, from: u64, wait: Duration) -> Option<Page> {
         if host.now() < self.state().peers {
             return None;
@@ -120,7 +157,21 @@
 
 impl Log for RelayLog {
     fn append(&self, stream: &str, bytes: &[u8]) -> Result<u64, AppendError> {
-        self.log.append(stream, bytes)
+        let Some(host) = self.host.get() else {
+            return self.log.append(stream, bytes);
+        };
+        if host.now() < self.state().log {
+            return match append_relayed(host, stream, bytes) {
+                Some(result) => result,
+                None => self.append_direct(host, stream, bytes),
+            };
+        }
+        match self.append_direct(host, stream, bytes) {
+            Err(AppendError::NotTaken(text)) => {
+                append_relayed(host, stream, bytes).unwrap_or(Err(AppendError::NotTaken(text)))
+            }
+            result => result,
+        }
     }
 
     fn read(&self, stream: &str, from: u64, wait: Duration) -> Res<Page> {
@@ -137,7 +188,42 @@
     }
 }
 
-fn serve(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
+/// Appends through the first peer that answers; `None` if none can be reached. A peer that is certain
+/// that the log did not take the record is passed over.
+fn append_relayed(host: &Host, stream: &str, bytes: &[u8]) -> Option<Result<u64, AppendError>> {
+    let call = AppendCall {
+        stream: stream.into(),
+        bytes: ByteBuf::from(bytes),
+    };
+    let mut refused = None;
+    for peer in neighbours(host) {
+        match host.call(peer.addr, &call, LIMIT) {
+            Ok(AppendReply::Taken(offset)) => return Some(Ok(offset)),
+            Ok(AppendReply::NotTaken(text)) => {
+                refused = Some(Err(AppendError::NotTaken(text.to_string())));
+            }
+            Ok(AppendReply::Unknown(text)) => {
+                return Some(Err(AppendError::Unknown(text.to_string())));
+            }
+            Err(fail) if fail.kind.row().ran == Ran::No => {}
+            Err(fail) => return Some(Err(AppendError::Unknown(fail.text.to_string()))),
+        }
+    }
+    refused
+}
+
+/// Appends for a peer. The log is asked directly: a peer of a peer is no better than this one.
+fn serve_append(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
+    serve_call(host, exchange, |host, call: AppendCall| {
+        Ok(match host.log.append(&call.stream, &call.bytes) {
+            Ok(offset) => AppendReply::Taken(offset),
+            Err(AppendError::NotTaken(text)) => AppendReply::NotTaken(text.into()),
+            Err(AppendError::Unknown(text)) => AppendReply::Unknown(text.into()),
+        })
+    })
+}
+
+fn serve_read(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
     serve_call(host, exchange, |host, call: ReadCall| {
         host.log.read(&call.stream, call.from, call.wait.min(LIMIT))
     })
--- a/src/member/task.rs
+++ b/src/member/task.rs
@@ -4,10 +4,11 @@
 use crate::{
     clock::Time,
     http::Exchange,
-    kernel::{Host, Plugin, Port, Route, Task, serve_call},
+    kernel::{Call, Host, Plugin, Port, Route, Task, neighbours, serve_call},
     store::{Hosts, Listed, Standing},
     wire::Peer,
 };
+use serde::{Deserialize, Serialize};
 use std::{io, sync::Arc, thread, time::Duration};
 
 /// Bytes a second that a host spends on reading the list. A longer list is read less often.
@@ -22,12 +23,10 @@
 inventory::submit! {
     Plugin {
         name: "member",
-        routes: &[Route {
-            port: Port::Peer,
-            method: "POST",
-            path: "/peer/member/whoami",
-            handle: whoami,
-        }],
+        routes: &[
+            Route { port: Port::Peer, method: "POST", path: "/peer/member/whoami", handle: whoami },
+            Route { port: Port::Peer, method: "POST", path: "/peer/member/announce", handle: announce_for },
+        ],
         tasks: &[
             Task { name: "announce", every: EVERY, run: announce },
             Task { name: "list", every: EVERY, run: read_list },
@@ -71,11 +70,39 @@
         peer: host.me.clone(),
         standing,
     };
-    if host.list.announce(&listed).is_ok() {
+    if host.list.announce(&listed).is_ok() || announce_relayed(host, &listed) {
         *host.members.announced.lock().expect("announced") = Some(began);
     }
 }
 
+/// Asks a peer to announce this host to the list, which this one cannot reach. The peer says whether
+/// the list accepted it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct AnnounceCall {
+    listed: Listed,
+}
+
+impl Call for AnnounceCall {
+    type Reply = ();
+    const PATH: &'static str = "/peer/member/announce";
+}
+
+fn announce_relayed(host: &Host, listed: &Listed) -> bool {
+    let call = AnnounceCall {
+        listed: listed.clone(),
+    };
+    let peers = neighbours(host);
+    peers
+        .iter()
+        .any(|peer| host.call(peer.addr, &call, PROBE_LIMIT).is_ok())
+}
+
+fn announce_for(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
+    serve_call(host, exchange, |host, call: AnnounceCall| {
+        host.list.announce(&call.listed)
+    })
+}
+
 fn read_list(host: &Arc<Host>) {
     let began = host.now();
     let every = Members::read_every(host.members.ring().peers().len());
