--- a/src/batch/passed.rs
+++ b/src/batch/passed.rs
@@ -10,6 +10,7 @@
     error::{Fail, Kind, Res},
     job::{Ask, ItemState, Job, State},
     kernel::Host,
+    pass::{ELSEWHERE, Request},
     wire::Name,
 };
 use serde_bytes::ByteBuf;
@@ -28,6 +29,10 @@
 /// `RateLimited` if it does not fit in the workspace's limit; `Unsettled` if it may be accepted
 /// later; any other failure means that no part of it ever runs.
 pub fn submit(host: &Host, route: &PassRoute, job: NewJob) -> Res<()> {
+    if host.relay.is_cut_off(host) {
+        let text = "neither the log nor another host can be reached; nothing was kept";
+        return Err(Fail::new(Kind::LogDown, text).retry_after(ELSEWHERE));
+    }
     let slot = host.batch.streams.slot_of(&job.id);
     if route.queued > 0
         && let Some(stream) = host.batch.streams.enter(slot)
@@ -132,8 +137,8 @@
 }
 
 /// Makes a job's items out of requests.
-pub fn asks(requests: Vec<(crate::pass::Request, u32)>) -> Vec<Arc<Ask>> {
-    let ask = |(request, tokens): (crate::pass::Request, u32)| Ask {
+pub fn asks(requests: Vec<(Request, u32)>) -> Vec<Arc<Ask>> {
+    let ask = |(request, tokens): (Request, u32)| Ask {
         id: request.id.clone(),
         model: Name::default(),
         adapter: None,
--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     clock::Time,
-    error::{Fail, Kind, Res},
+    error::Res,
     kernel::{Call, Host},
     share::{Local, Tag},
     wire::{Class, Name, Peer},
@@ -94,10 +94,10 @@
 }
 
 impl Held {
-    /// Asks the gate of `server` for a slot.
+    /// Asks the gate of `server` for a slot, or the gate of this host if no other answers.
     ///
     /// # Errors
-    /// `Unreachable` if no gate of the server answers.
+    /// This host's own gate cannot be asked.
     pub fn ask(&self, host: &Arc<Host>, server: &Name, ask: &Ask, wait: Duration) -> Res<Reply> {
         let owners = host.members.owners(&gate_key(server), 2);
         let mut call = Acquire {
@@ -107,7 +107,12 @@
             wait,
             force: false,
         };
-        for peer in owners.iter().filter(|p| !self.is_down(&p.name, host.now())) {
+        for peer in &owners {
+            host.members.watch(peer, host.now());
+        }
+        let is_up =
+            |p: &&Peer| !self.is_down(&p.name, host.now()) && !host.members.is_down(&p.name);
+        for peer in owners.iter().filter(is_up) {
             match self.ask_peer(host, peer, &mut call) {
                 Ok((gate, admission)) => return Ok(self.read(host, &call, &gate, &admission)),
                 Err(_) => {
@@ -118,10 +123,10 @@
             // What a gate granted without an answer that arrived.
             self.give_back(server, &ask.id, 0);
         }
-        Err(Fail::new(
-            Kind::Unreachable,
-            format!("no gate of server \"{server}\" answers"),
-        ))
+        // A host that reaches no gate grants for itself: the server refuses what is too much.
+        call.force = true;
+        let admission = send(host, &host.me, &call)?;
+        Ok(self.read(host, &call, &host.me, &admission))
     }
 
     /// Asks one host, and the one that it names if the gate moved.
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -94,6 +94,8 @@
     pub client: Client,
     /// The log, for roles that read it beside the followers.
     pub log: SharedLog,
+    /// The log, through peers where this host cannot reach it.
+    pub relay: RelayLog,
     /// The platform's host list.
     pub list: SharedHosts,
     /// Configuration.
@@ -213,6 +215,7 @@
             me,
             clock,
             client,
+            relay,
             log,
             list,
         });
--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -118,6 +118,17 @@
         result
     }
 
+    /// Whether this host can certainly not append: its last call to the log failed, and no neighbour
+    /// answers.
+    pub fn is_cut_off(&self, host: &Host) -> bool {
+        if self.state().log == Time::ZERO {
+            return false;
+        }
+        let neighbours = neighbours(host);
+        let is_down = |p: &Peer| host.members.is_down(&p.name);
+        !neighbours.is_empty() && neighbours.iter().all(is_down)
+    }
+
     fn append_direct(&self, host: &Host, stream: &str, bytes: &[u8]) -> Result<u64, AppendError> {
         let result = self.log.append(stream, bytes);
         if let Err(error) = &result {
--- a/src/limit/bucket.rs
+++ b/src/limit/bucket.rs
@@ -68,6 +68,12 @@
     valid + valid / 4
 }
 
+/// Whole tokens that the rate of `share` gives in `span`, its burst at most.
+pub fn minted(share: Share, span: Duration) -> u32 {
+    let tokens = u128::from(share.rate) * span.as_nanos() / TOKEN;
+    u32::try_from(tokens).unwrap_or(u32::MAX).min(share.burst)
+}
+
 impl Bucket {
     /// A bucket with `left` tokens. Its other room is closed until `open`, for loans of an
     /// earlier holder that may still be out; without tokens it stays empty until then.
--- a/src/limit/lend.rs
+++ b/src/limit/lend.rs
@@ -1,6 +1,8 @@
 //! The lending side: slots that this host holds.
 
-use super::{Bucket, CLAIM_WAIT, GROW_WAIT, LOAN_MAX, Proof, Record, Share, Slot, loan_span};
+use super::{
+    Bucket, CLAIM_WAIT, GROW_WAIT, LOAN_MAX, Proof, Record, Share, Slot, loan_span, minted,
+};
 use crate::{
     clock::Time,
     fold::{Appended, Pos},
@@ -224,7 +226,12 @@
             (false, true) => Some(now.max(loan_span(share))),
             (false, false) => None,
         };
-        let left = if open.is_some() { 0 } else { slot.left };
+        let left = match (slot.forced, slot.succeeded) {
+            (true, _) => 0,
+            // What the rate gave since this start; nobody spent of it.
+            (false, true) => minted(share, open.unwrap_or(now)),
+            (false, false) => slot.left,
+        };
         let settled = open.unwrap_or(now + LOAN_MAX + LOAN_MAX / 4);
         let bucket = Bucket::new(share, left, now, settled);
         let open = open.unwrap_or(now);
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -18,7 +18,7 @@
 
 pub use account::{Limits, Permit};
 pub use borrow::{Ask, Balance, Step, Token};
-pub use bucket::{Bucket, Loan, loan_span};
+pub use bucket::{Bucket, Loan, loan_span, minted};
 pub use call::Borrow;
 pub use fold::{Homes, Record, Shares, Slot};
 pub use home::{Place, misplaced, place};
--- a/src/pass/forward.rs
+++ b/src/pass/forward.rs
@@ -25,6 +25,9 @@
 /// Longest time that a request on a route without an objective waits for a slot.
 const PATIENCE_MAX: Duration = Duration::from_secs(1);
 
+/// Time to come back where another host can serve a request that this one cannot.
+pub const ELSEWHERE: Duration = Duration::from_millis(20);
+
 /// A request as it came in.
 #[derive(Debug, Clone)]
 pub struct Arrival {
@@ -89,10 +92,10 @@
 fn check_connected(host: &Host) -> Res<()> {
     match host.is_connected() {
         true => Ok(()),
-        false => Err(Fail::new(
-            Kind::NotReady,
-            "the host does not know the configuration; use another",
-        )),
+        false => {
+            let text = "the host does not know the configuration; use another";
+            Err(Fail::new(Kind::NotReady, text).retry_after(ELSEWHERE))
+        }
     }
 }
 
--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -4,7 +4,7 @@
 
 /// Attempts at one piece of work, the first included.
 pub const ATTEMPTS: u32 = 4;
-/// Attempts at one request that is passed on unchanged, those included that no server ran.
+/// Attempts at one request that is passed on unchanged.
 pub const PASSED_ATTEMPTS: u32 = 8;
 /// Retries that may be made at once after a quiet time.
 pub const RESERVE: u64 = 20;
@@ -64,14 +64,13 @@
     }
 }
 
-/// Decides for a request that is passed on unchanged. `may_send` tells whether one more server may
-/// run it.
+/// Decides for a request that is passed on unchanged and that a server may have run. `may_send` tells
+/// whether one more server may run it.
 pub fn decide_passed(kind: Kind, repeatable: bool, attempts: u32, may_send: bool) -> Next {
     if attempts >= PASSED_ATTEMPTS {
         return Next::GiveUp;
     }
     match kind {
-        Kind::Unreachable | Kind::Overloaded | Kind::ServerFull => Next::Again,
         Kind::ServerLost | Kind::BrokenAnswer | Kind::ServerFailed if repeatable && may_send => {
             Next::Again
         }
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -171,6 +171,8 @@
 fn outcome(attempt: &Try, result: &Result<Answer, Stop>) -> Outcome {
     match (result, attempt.first) {
         (Err(Stop::Failed(fail)), _) if fail.kind == Kind::Unreachable => Outcome::Gone,
+        // A full server is no sick one; its gate learns by its own counts.
+        (Err(Stop::Failed(fail)), _) if fail.kind == Kind::ServerFull => Outcome::None,
         (Err(Stop::Failed(_)), _) => Outcome::Bad,
         (_, Some(first)) => Outcome::Good(first.saturating_sub(attempt.began).as_secs_f64()),
         _ => Outcome::None,
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -2,14 +2,21 @@
 
 use super::attempt::Stop;
 use crate::{
-    error::{Fail, Kind, Res},
+    clock::{Clock, Time},
+    error::{Fail, Kind, Ran, Res},
     kernel::Host,
     pass::{Event, Head},
     retry::{self, Next},
     timeline::Happening,
     wire::{Answer, Class, Name, Work},
 };
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
+
+/// Pause after a server that did not run a request, before the next one is asked.
+const STAND_BY: Duration = Duration::from_millis(20);
+/// Time without a server that runs a request after which it is given up: callers leave after two
+/// seconds without an event.
+const STUCK_MAX: Duration = Duration::from_millis(1500);
 
 /// Receives the tokens of an answer.
 pub trait Sink {
@@ -84,6 +91,8 @@
     pub(super) admitted: bool,
     /// Failed attempts.
     fails: u32,
+    /// Position at which no server ran the work, and since when.
+    stuck: Option<(u32, Time)>,
     /// Servers that failed.
     pub(super) tried: Vec<Name>,
     /// The last failure after which a server may have run the work.
@@ -110,6 +119,7 @@
         sent: 0,
         admitted: false,
         fails: 0,
+        stuck: None,
         tried: Vec::new(),
         earlier: None,
     };
@@ -139,6 +149,9 @@
 
     /// Goes on after a failed attempt, or ends with its failure.
     fn recover(&mut self, fail: Fail) -> Res<()> {
+        if self.work.request.is_some() && fail.kind.row().ran == Ran::No {
+            return self.stand_by(fail);
+        }
         self.fails += 1;
         let next = match &self.work.request {
             Some(request) => {
@@ -162,12 +175,26 @@
         };
         let note = format!("{} from={}", fail.kind.row().code, self.pos);
         self.host.timeline.note(what, &self.work.id, None, &note);
-        if fail.kind.row().ran != crate::error::Ran::No {
+        if fail.kind.row().ran != Ran::No {
             self.earlier = Some(fail);
         }
         Ok(())
     }
 
+    /// Waits a little after a server that certainly did not run a request to be passed on; gives up
+    /// when no server ran it for long.
+    fn stand_by(&mut self, fail: Fail) -> Res<()> {
+        let now = self.host.now();
+        let (pos, since) = *self.stuck.get_or_insert((self.pos, now));
+        if pos != self.pos {
+            self.stuck = Some((self.pos, now));
+        } else if now.saturating_sub(since) >= STUCK_MAX {
+            return Err(self.settle(fail));
+        }
+        self.host.clock.sleep(STAND_BY);
+        Ok(())
+    }
+
     /// Batch work goes on elsewhere or later, from its position, unless the host stops.
     fn give_way(&mut self) -> Res<()> {
         let fail = Fail::new(Kind::Preempted, "the work gave way to online requests");
