Jobs at a host that gets no answer of the store are soon another host's

What: accept waits some times what appends take at present (150 ms at least), then answers 503 where no commit was sent, 504 where one may arrive; another host accepts the same id.

--- a/src/batch/accept.rs
+++ b/src/batch/accept.rs
@@ -113,6 +113,12 @@
             asks,
         })
         .collect();
+    // A job of requests to be passed on is sent again, to another host, as soon as it is refused.
+    let is_passed = asks.iter().any(|a| a.request.is_some());
+    let wait = match is_passed {
+        true => host.settings.wait.min(host.relay.patience()),
+        false => host.settings.wait,
+    };
     let left = |host: &Host| end.saturating_sub(host.now());
     let mut fewest = recs.len();
     let mut moved = host.now();
@@ -125,7 +131,7 @@
         if missing.len() < fewest {
             (fewest, moved) = (missing.len(), host.now());
         }
-        let patience = (moved + host.settings.wait).saturating_sub(host.now());
+        let patience = (moved + wait).saturating_sub(host.now());
         let limit = left(host).min(patience);
         put_pieces(host, stream, &recs, &missing, limit);
         if limit.is_zero() || host.is_dead() {
@@ -137,9 +143,7 @@
     }
     let settled = stream
         .jobs
-        .settle(&commit, left(host).min(host.settings.wait), |s| {
-            look_up(s, id, digest)
-        });
+        .settle(&commit, left(host).min(wait), |s| look_up(s, id, digest));
     match settled {
         Ok(result) => {
             if result.is_ok() {
--- a/src/batch/passed.rs
+++ b/src/batch/passed.rs
@@ -2,7 +2,7 @@
 
 use super::{
     forward::ask,
-    message::{NewJob, Order, Run, Which},
+    message::{NewJob, Order, Run, Told, Which},
 };
 use crate::{
     clock::Clock,
@@ -63,7 +63,11 @@
             "submit_while_behind"
         );
     }
-    ask(host, slot, &Order::Create(job))?.job().map(|_| ())
+    let told = ask(host, slot, &Order::Create(job)).and_then(Told::job);
+    told.map(|_| ()).map_err(|fail| match fail.kind {
+        Kind::LogDown => fail.retry_after(ELSEWHERE),
+        _ => fail,
+    })
 }
 
 /// Tokens of the open items of `workspace` on `route`.
--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -22,6 +22,10 @@
 const LIMIT: Duration = Duration::from_secs(1);
 /// Time for which peers are left alone after none of them could read the log.
 const PEER_BACKOFF: Duration = Duration::from_secs(2);
+/// Times that an append may take longer than the last one before it counts as not answered.
+const PATIENCE_FACTOR: u32 = 8;
+/// Shortest time for which an append is waited for; an append takes some 10 ms with its way.
+const PATIENCE_MIN: Duration = Duration::from_millis(150);
 /// Time for which peers are asked first after the log could not be read.
 const LOG_BACKOFF: Duration = Duration::from_secs(2);
 
@@ -90,6 +94,8 @@
 struct Backoff {
     log: Time,
     peers: Time,
+    /// What the last append that the log took directly took.
+    spent: Duration,
 }
 
 impl RelayLog {
@@ -118,6 +124,12 @@
         result
     }
 
+    /// Time after which an append that has not been answered is better made by another host: some times
+    /// what appends take at present.
+    pub fn patience(&self) -> Duration {
+        (self.state().spent * PATIENCE_FACTOR).max(PATIENCE_MIN)
+    }
+
     /// Whether this host can certainly not append: its last call to the log failed, and no neighbour
     /// answers.
     pub fn is_cut_off(&self, host: &Host) -> bool {
@@ -130,10 +142,15 @@
     }
 
     fn append_direct(&self, host: &Host, stream: &str, bytes: &[u8]) -> Result<u64, AppendError> {
+        let began = host.now();
         let result = self.log.append(stream, bytes);
-        if let Err(error) = &result {
-            tracing::info!(stream, ?error, "append_failed");
-            self.state.lock().expect("backoff").log = host.now() + LOG_BACKOFF;
+        let mut state = self.state.lock().expect("backoff");
+        match &result {
+            Ok(_) => state.spent = host.now().saturating_sub(began),
+            Err(error) => {
+                tracing::info!(stream, ?error, "append_failed");
+                state.log = host.now() + LOG_BACKOFF;
+            }
         }
         result
     }
