--- a/src/batch/passed.rs
+++ b/src/batch/passed.rs
@@ -24,8 +24,6 @@
 const STALE: Duration = Duration::from_millis(800);
 /// Time to come back for a job that does not fit: several items finish in it.
 const COME_BACK: Duration = Duration::from_secs(1);
-/// Age of the last reading of the log from which this host asks for a try at another one.
-const LAG_MAX: Duration = Duration::from_secs(3);
 
 /// Accepts a job on `route`, or finds it if it was accepted before.
 ///
@@ -41,13 +39,12 @@
     if route.queued > 0
         && let Some(stream) = host.batch.streams.enter(slot)
     {
+        let new: u64 = job.asks.iter().map(|a| u64::from(a.tokens)).sum();
         let waiting = stream.jobs.view(|s| match s.job(&job.id) {
-            Some(_) => 0,
-            None => waiting_tokens(s, &job.workspace, route),
+            Some(_) => None,
+            None => Some(waiting_tokens(s, &job.workspace, route)),
         });
-        let new: u64 = job.asks.iter().map(|a| u64::from(a.tokens)).sum();
-        let is_known = stream.jobs.view(|s| s.job(&job.id).is_some());
-        if !is_known && waiting + new > route.queued {
+        if let Some(waiting) = waiting.filter(|w| w + new > route.queued) {
             let text = format!(
                 "{waiting} tokens of the workspace wait; {new} more are over the limit of {}",
                 route.queued
@@ -55,18 +52,6 @@
             return Err(Fail::new(Kind::RateLimited, text).retry_after(COME_BACK));
         }
     }
-    let lag = host
-        .config
-        .progress()
-        .fresh
-        .map(|f| host.now().saturating_sub(f));
-    if lag.is_none_or(|l| l > LAG_MAX) {
-        tracing::info!(
-            id = &*job.id,
-            lag_ms = lag.map(|l| l.as_millis() as u64),
-            "submit_while_behind"
-        );
-    }
     let told = ask(host, slot, &Order::Create(job)).and_then(Told::job);
     told.map(|_| ()).map_err(|fail| match fail.kind {
         Kind::LogDown => fail.retry_after(ELSEWHERE),
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -140,10 +140,11 @@
     /// Whether nobody holds the part, or its holder's lease has lapsed.
     fn is_loose<G: Fn(&str) -> bool, P, Q>(&self, view: &View<'_, G, P, Q>, part: &Part) -> bool {
         part.holder.as_ref().is_none_or(|holder| {
+            let is_ended = is_same_host(holder, view.me);
             **holder != *view.me
-                // An earlier start of this host has ended.
-                && (is_same_host(holder, view.me)
-                    || self.watch.is_lapsed(holder, view.now, view.span) || (view.is_gone)(holder))
+                && (is_ended
+                    || self.watch.is_lapsed(holder, view.now, view.span)
+                    || (view.is_gone)(holder))
         })
     }
 
--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -68,6 +68,23 @@
     }
 }
 
+impl<T> Half<T> {
+    /// Takes `other` over if it is newer; whether it was.
+    fn renew(&mut self, other: Option<Self>) -> bool {
+        let newer = other.filter(|o| o.at > self.at);
+        let is_newer = newer.is_some();
+        if let Some(newer) = newer {
+            *self = newer;
+        }
+        is_newer
+    }
+}
+
+fn loaded(host: &Host, id: &str, at: u64, note: &str) {
+    host.timeline
+        .note(Happening::StateLoaded, id, Some(at), note);
+}
+
 /// Both halves as one host knows them.
 #[derive(Debug, Default)]
 pub struct Declared {
@@ -87,11 +104,9 @@
     /// Takes a reading of what operators declare, which was the newest at `fresh`.
     pub fn take_catalog(&self, host: &Host, half: Option<Half<Catalog>>, fresh: Time) {
         let mut known = self.lock();
-        if let Some(half) = half.filter(|h| h.at > known.catalog.at) {
-            let note = format!("version={}", half.value.version);
-            let timeline = &host.timeline;
-            timeline.note(Happening::StateLoaded, "catalog", Some(half.at), &note);
-            known.catalog = half;
+        if known.catalog.renew(half) {
+            let (at, version) = (known.catalog.at, known.catalog.value.version);
+            loaded(host, "catalog", at, &format!("version={version}"));
         }
         known.catalog_fresh = known.catalog_fresh.max(Some(fresh));
         known.adopt(host);
@@ -100,11 +115,9 @@
     /// Takes a reading of the servers, which was the newest at `fresh`.
     pub fn take_fleet(&self, host: &Host, half: Option<Half<Vec<Server>>>, fresh: Time) {
         let mut known = self.lock();
-        if let Some(half) = half.filter(|h| h.at > known.fleet.at) {
-            let note = format!("servers={}", half.value.len());
-            let timeline = &host.timeline;
-            timeline.note(Happening::StateLoaded, "servers", Some(half.at), &note);
-            known.fleet = half;
+        if known.fleet.renew(half) {
+            let (at, count) = (known.fleet.at, known.fleet.value.len());
+            loaded(host, "servers", at, &format!("servers={count}"));
         }
         known.fleet_fresh = known.fleet_fresh.max(Some(fresh));
         known.adopt(host);
--- a/src/entry/reply.rs
+++ b/src/entry/reply.rs
@@ -49,10 +49,7 @@
 
     fn token(&mut self, exchange: &Exchange) -> Res<()> {
         let now = self.host.now();
-        match self.last.replace(now) {
-            None => self.host.served.first(now.saturating_sub(self.began)),
-            Some(last) => self.host.served.gap(now.saturating_sub(last)),
-        }
+        self.host.served.piece(self.began, &mut self.last, now);
         self.check(exchange)
     }
 
@@ -62,12 +59,7 @@
             return Ok(());
         }
         self.due = now + CHECK_EVERY;
-        if self.host.is_dead() {
-            return Err(Fail::new(Kind::Cancelled, "the host was lost"));
-        }
-        if exchange.is_gone() {
-            return Err(Fail::new(Kind::Cancelled, "the caller went away"));
-        }
+        self.host.check_caller(exchange)?;
         if !auth::still_valid(self.host, self.caller) {
             let text = "the key was withdrawn while the answer was under way";
             return Err(Fail::new(Kind::KeyWithdrawn, text));
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -1,13 +1,13 @@
 //! One host: its state, its ports and threads, and how they start and stop.
 
-use super::{Handler, Plugin, Port, RelayLog, Router, Task};
+use super::{Edges, Handler, Plugin, Port, RelayLog, Router, Task};
 use crate::{
     batch::Batch,
     clock::{Clock, SystemClock, Time},
     config, control,
     declared::Declared,
     entry::withdraw::Keys,
-    error::{Fail, Kind},
+    error::{Fail, Kind, Res},
     fold::{Fold, Follower},
     gate::Gates,
     http::{Bounds, Client, Exchange, Server},
@@ -21,7 +21,7 @@
     route::Routes,
     settings::Settings,
     snapshot::Snapshots,
-    store::{HttpHosts, HttpLog, SharedHosts, SharedLog},
+    store::{SharedHosts, SharedLog},
     timeline::{Happening, Timeline},
     wire::{Name, Peer},
 };
@@ -48,39 +48,6 @@
 /// Follower of the calls that run at most once.
 pub type CallsFollower = Follow<Calls>;
 
-/// What a host talks to beside callers and peers.
-#[derive(Debug, Clone)]
-pub struct Edges {
-    /// The log.
-    pub log: SharedLog,
-    /// The host list.
-    pub list: SharedHosts,
-    /// The outside system that declares the configuration, if one does.
-    pub outside: Option<Outside>,
-}
-
-/// An outside system whose requests are passed on unchanged.
-#[derive(Debug, Clone, Copy)]
-pub struct Outside {
-    /// Answers every request on the callers' port.
-    pub face: Handler,
-    /// Names of its servers' protocol.
-    pub dialect: &'static Dialect,
-}
-
-impl Edges {
-    /// This product's own interfaces, by HTTP at the addresses in `settings`.
-    pub fn own(settings: &Settings, client: &Client) -> Self {
-        let log = HttpLog::new(settings.log.clone(), client.clone());
-        let list = HttpHosts::new(settings.list.clone(), client.clone());
-        Self {
-            log: SharedLog(Arc::new(log)),
-            list: SharedHosts(Arc::new(list)),
-            outside: None,
-        }
-    }
-}
-
 /// One host with all its roles.
 #[derive(Debug)]
 pub struct Host {
@@ -267,6 +234,20 @@
         last.is_some_and(|t| self.now().saturating_sub(t) < self.members.span())
     }
 
+    /// Whether somebody still waits on this host for the answer of `exchange`.
+    ///
+    /// # Errors
+    /// `Cancelled` if the host was lost or the caller went away.
+    pub fn check_caller(&self, exchange: &Exchange) -> Res<()> {
+        if self.is_dead() {
+            return Err(Fail::new(Kind::Cancelled, "the host was lost"));
+        }
+        if exchange.is_gone() {
+            return Err(Fail::new(Kind::Cancelled, "the caller went away"));
+        }
+        Ok(())
+    }
+
     /// Rests for `span`, or until the host is dead.
     fn rest(&self, span: Duration) {
         if span.is_zero() {
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -5,14 +5,14 @@
 //! request passes no dynamic dispatch.
 
 mod call;
+mod edges;
 mod host;
 mod relay;
 mod router;
 
 pub use call::{Call, serve_call};
-pub use host::{
-    CallsFollower, ConfigFollower, Edges, Follow, HomesFollower, Host, JobFollower, Outside,
-};
+pub use edges::{Edges, Outside};
+pub use host::{CallsFollower, ConfigFollower, Follow, HomesFollower, Host, JobFollower};
 pub use relay::{RelayLog, neighbours};
 pub use router::Router;
 
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -18,7 +18,10 @@
 
 use crate::{clock::Time, kernel::Host, settings::Settings, wire::Peer};
 use std::{
-    sync::{Arc, Mutex, RwLock},
+    sync::{
+        Arc, Mutex, RwLock,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -35,6 +38,8 @@
     reach: Mutex<Reach>,
     reached: Mutex<Option<Time>>,
     announced: Mutex<Option<Time>>,
+    /// Number of hosts that the last read of the list showed.
+    machines: AtomicUsize,
     hold: Duration,
 }
 
@@ -48,6 +53,7 @@
             reach: Mutex::default(),
             reached: Mutex::default(),
             announced: Mutex::default(),
+            machines: AtomicUsize::new(0),
             hold: settings.lease,
         }
     }
@@ -98,7 +104,7 @@
 
     /// Number of hosts that the last read showed, several starts of one counted once.
     pub fn machines(&self) -> usize {
-        self.list.lock().expect("list").machines()
+        self.machines.load(Ordering::Relaxed)
     }
 
     /// Whether the first read showed an earlier start of this host, so that the others count it.
--- a/src/member/task.rs
+++ b/src/member/task.rs
@@ -9,7 +9,12 @@
     wire::Peer,
 };
 use serde::{Deserialize, Serialize};
-use std::{io, sync::Arc, thread, time::Duration};
+use std::{
+    io,
+    sync::{Arc, atomic::Ordering},
+    thread,
+    time::Duration,
+};
 
 /// Bytes a second that a host spends on reading the list. A longer list is read less often.
 pub const READ_BYTES: usize = 4096;
@@ -49,6 +54,7 @@
         list.note_first(listed, &host.me.name);
         list.read(listed, began);
         let ring = Ring::new(list.live(&host.me, host.is_stopping()));
+        self.machines.store(list.machines(), Ordering::Relaxed);
         drop(list);
         *self.ring.write().expect("ring") = Arc::new(ring);
     }
--- a/src/metrics/served.rs
+++ b/src/metrics/served.rs
@@ -1,6 +1,6 @@
 //! What callers and batch jobs got from this host, gathered between two reports.
 
-use crate::error::Kind;
+use crate::{clock::Time, error::Kind};
 use hdrhistogram::Histogram;
 use std::{
     sync::{
@@ -72,6 +72,15 @@
         self.lock().gap.saturating_record(micros(time));
     }
 
+    /// Records a piece of an answer that came at `now`, to a request that came at `began`: its first
+    /// one, or one after the piece that came at `last`.
+    pub fn piece(&self, began: Time, last: &mut Option<Time>, now: Time) {
+        match last.replace(now) {
+            None => self.first(now.saturating_sub(began)),
+            Some(last) => self.gap(now.saturating_sub(last)),
+        }
+    }
+
     /// Counts a request that was refused or failed.
     pub fn refused(&self, kind: Kind) {
         let refused = &mut self.lock().refused;
--- a/src/pass/sink.rs
+++ b/src/pass/sink.rs
@@ -85,10 +85,7 @@
 
     fn note_time(&mut self) {
         let now = self.host.now();
-        match self.last.replace(now) {
-            None => self.host.served.first(now.saturating_sub(self.began)),
-            Some(last) => self.host.served.gap(now.saturating_sub(last)),
-        }
+        self.host.served.piece(self.began, &mut self.last, now);
     }
 }
 
@@ -153,12 +150,6 @@
             return Ok(());
         }
         self.due = now + CHECK_EVERY;
-        if self.host.is_dead() {
-            return Err(Fail::new(Kind::Cancelled, "the host was lost"));
-        }
-        if self.exchange.is_gone() {
-            return Err(Fail::new(Kind::Cancelled, "the caller went away"));
-        }
-        Ok(())
+        self.host.check_caller(self.exchange)
     }
 }
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -7,7 +7,7 @@
 use crate::{
     error::{Fail, Kind, Res},
     gate::Slot,
-    pass::{Conn, Event, Events, Head, ReadError, Request, Sending, Verdict},
+    pass::{Conn, Entered, Event, Events, Head, ReadError, Request, Sending, Verdict},
     timeline::Happening,
     wire::{Answer, Class},
 };
@@ -76,11 +76,10 @@
         let is_stream = head
             .field("content-type")
             .is_some_and(|t| t.starts_with("text/event-stream"));
-        let mut ended = || entered.is_ended();
         if head.status == 200 && is_stream {
-            return self.events(slot, attempt, &mut conn, &head, &mut ended);
+            return self.events(slot, attempt, &mut conn, &head, &entered);
         }
-        self.whole(slot, &mut conn, &head, &mut ended)
+        self.whole(slot, &mut conn, &head, &entered)
     }
 
     fn events(
@@ -89,7 +88,7 @@
         attempt: &mut Try,
         conn: &mut Conn,
         head: &Head,
-        ended: &mut impl FnMut() -> bool,
+        entered: &Entered<'_>,
     ) -> Result<Answer, Stop> {
         let mut events = Events::default();
         let mut silent = Duration::ZERO;
@@ -97,10 +96,10 @@
             let more = match conn.read(POLL, events.buffer()) {
                 Ok(more) => more,
                 Err(ReadError::Quiet) => {
-                    self.keep_waiting(&mut silent, ended())?;
+                    self.keep_waiting(&mut silent, entered.is_ended())?;
                     continue;
                 }
-                Err(ReadError::Broken(text)) => return Err(self.lost(&text, ended())),
+                Err(ReadError::Broken(text)) => return Err(self.lost(&text, entered.is_ended())),
             };
             silent = Duration::ZERO;
             loop {
@@ -118,7 +117,10 @@
             }
             if !more {
                 if events.is_torn() {
-                    return Err(self.lost("the answer ended in the middle of an event", ended()));
+                    return Err(self.lost(
+                        "the answer ended in the middle of an event",
+                        entered.is_ended(),
+                    ));
                 }
                 self.sink.begin(head).map_err(Stop::Unwanted)?;
                 return Ok(self.answer(slot));
@@ -127,10 +129,7 @@
     }
 
     fn pass_event(&mut self, head: &Head, event: &Event) -> Result<(), Stop> {
-        if self.host.now() >= self.work.deadline {
-            let text = "the deadline passed while a server was at work";
-            return Err(Stop::Unwanted(Fail::new(Kind::ExpiredRunning, text)));
-        }
+        self.in_time().map_err(Stop::Unwanted)?;
         if let Some(id) = event.id {
             if id != self.pos + 1 {
                 let text = format!("event {id} came after event {}", self.pos);
@@ -156,7 +155,7 @@
         slot: &Slot,
         conn: &mut Conn,
         head: &Head,
-        ended: &mut impl FnMut() -> bool,
+        entered: &Entered<'_>,
     ) -> Result<Answer, Stop> {
         let mut body = Vec::new();
         let mut silent = Duration::ZERO;
@@ -165,8 +164,8 @@
                 Ok(false) => break,
                 Ok(true) if body.len() <= WHOLE_MAX => silent = Duration::ZERO,
                 Ok(true) => return Err(broken("the answer is too long")),
-                Err(ReadError::Quiet) => self.keep_waiting(&mut silent, ended())?,
-                Err(ReadError::Broken(text)) => return Err(self.lost(&text, ended())),
+                Err(ReadError::Quiet) => self.keep_waiting(&mut silent, entered.is_ended())?,
+                Err(ReadError::Broken(text)) => return Err(self.lost(&text, entered.is_ended())),
             }
         }
         if head.status < 400 {
@@ -203,13 +202,18 @@
     }
 
     fn wanted(&mut self) -> Res<()> {
-        if self.host.now() >= self.work.deadline {
-            let text = "the deadline passed while a server was at work";
-            return Err(Fail::new(Kind::ExpiredRunning, text));
-        }
+        self.in_time()?;
         self.sink.check()
     }
 
+    fn in_time(&self) -> Res<()> {
+        if self.host.now() < self.work.deadline {
+            return Ok(());
+        }
+        let text = "the deadline passed while a server was at work";
+        Err(Fail::new(Kind::ExpiredRunning, text))
+    }
+
     /// Why an attempt ended early: batch work gave way, or the server failed.
     fn lost(&self, text: &str, is_ended: bool) -> Stop {
         if is_ended && self.work.class == Class::Batch {
