A host that was never listed is gone only after reads that follow the first question about it

Items under way were begun again from the start. Ruled out: a lapsed lease (the holder's beats were in the log). Test: gone_unlisted_counts_from_first_question replaces the one that held the old count (it asked for 4 s without any read after the question); failed before.

--- a/src/member/list.rs
+++ b/src/member/list.rs
@@ -28,6 +28,9 @@
     hosts: Vec<Seen>,
     /// Whether the first read showed an earlier start of this host.
     pub(super) succeeds: bool,
+    /// Hosts that were asked about and never listed, with the time of the first question, sorted by
+    /// name.
+    unlisted: Vec<(Name, Time)>,
     /// Start of the first read.
     first: Option<Time>,
     /// Start of the last read.
@@ -52,6 +55,8 @@
         }
         self.hosts
             .retain(|s| s.missing.is_none_or(|m| began.saturating_sub(m) < FORGET));
+        self.unlisted
+            .retain(|(_, asked)| began.saturating_sub(*asked) < FORGET);
     }
 
     /// Notes whether the first read shows an earlier start of the host `me`.
@@ -93,13 +98,24 @@
     }
 
     /// Time from the first to the last read of the run of reads that did not show the host. A host
-    /// that was never listed counts as missing from the first read on.
-    pub fn gone_for(&self, name: &str) -> Option<Duration> {
+    /// that was never listed counts as missing from the first read after it was first asked about:
+    /// it may have started after the reads before, and `now` is the time of this question.
+    pub fn gone_for(&mut self, name: &str, now: Time) -> Option<Duration> {
         let missing = match self.find(name) {
-            Ok(i) => self.hosts[i].missing,
-            Err(_) => self.first,
+            Ok(i) => self.hosts[i].missing?,
+            Err(_) => self.asked(name, now),
         };
-        Some(self.last?.saturating_sub(missing?))
+        self.last?.checked_sub(missing)
+    }
+
+    /// When the host, which was never listed, was first asked about.
+    fn asked(&mut self, name: &str, now: Time) -> Time {
+        let found = self.unlisted.binary_search_by(|(n, _)| (**n).cmp(name));
+        let at = found.unwrap_or_else(|at| {
+            self.unlisted.insert(at, (name.into(), now));
+            at
+        });
+        self.unlisted[at].1
     }
 
     /// Names of the hosts that were last listed as live and were not missing before `since`, with
