A record that the log took is read for by itself if the waiting read does not show it

Cause: while the store deletes history, waiting reads hear nothing for a second and more; hosts in touch refused jobs ("the log does not take the items") that the log had taken, and said that they were behind the log. Change: wait_taken reads once without waiting after 30 ms, then after twice that; a reader of results that is behind does the same before it refuses. Test: settle_record_that_no_waiting_read_hears_of (Unsettled before).

--- a/src/batch/passed.rs
+++ b/src/batch/passed.rs
@@ -94,6 +94,7 @@
             which: which.clone(),
             from,
         };
+        catch_up(host, slot);
         let run = ask(host, slot, &order)?.items()?;
         let left = end.saturating_sub(host.now());
         let is_over = from >= run.total || left.is_zero() || host.is_stopping();
@@ -114,6 +115,16 @@
     }
 }
 
+/// Reads the log without waiting where this host is behind it and can reach it.
+fn catch_up(host: &Host, slot: &Slot) {
+    if !host.relay.is_lost()
+        && is_stale(host, slot)
+        && let Some(stream) = host.batch.streams.enter(slot)
+    {
+        stream.jobs.read_now();
+    }
+}
+
 /// Whether this host follows the stream and has not read it to its head for long: another host may
 /// have shown results that this one does not know.
 fn is_stale(host: &Host, slot: &Slot) -> bool {
--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -25,6 +25,9 @@
 const READ_WAIT: Duration = Duration::from_millis(500);
 /// Pause after a failed read or append.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Time after which a record that the log took is read for by itself; a read that waits at the log
+/// hears of a new record within some 10 ms.
+const NUDGE: Duration = Duration::from_millis(30);
 /// Least time left for a further append; one begun later could end without an answer that is heard.
 const LAST_TRY: Duration = Duration::from_millis(500);
 /// Most bytes of fold records in one log record.
@@ -178,6 +181,38 @@
         guard.next > offset
     }
 
+    /// Waits until the log record at `offset`, which the log has, was applied here; `false` if that
+    /// took longer than `limit`. A read that waits at the log may not hear of the record for long, so
+    /// after a short time the log is read without waiting, and again after twice that time.
+    pub fn wait_taken(&self, offset: u64, limit: Duration) -> bool {
+        let end = self.clock.now() + limit;
+        let mut nap = NUDGE;
+        loop {
+            let left = end.saturating_sub(self.clock.now());
+            if self.wait_applied(offset, nap.min(left)) {
+                return true;
+            }
+            if left <= nap || self.is_stopped() {
+                return false;
+            }
+            self.read_now();
+            nap *= 2;
+        }
+    }
+
+    /// Applies what the log has at this time, without waiting for news.
+    pub fn read_now(&self) {
+        let began = self.clock.now();
+        let next = self.progress().next;
+        match self.log.read(&self.stream, next, Duration::ZERO) {
+            Ok(page) => {
+                self.apply(&page, began);
+            }
+            // The reading thread meets the same failure and deals with it.
+            Err(fail) => tracing::info!(stream = %self.stream, next, %fail, "read_failed"),
+        }
+    }
+
     /// Waits until some record was applied after `next`, `limit` at most.
     pub fn wait_moved(&self, next: u64, limit: Duration) -> u64 {
         self.wait_applied(next, limit);
@@ -212,7 +247,7 @@
                 Appended::Taken(at) => {
                     doubt = true;
                     let left = end.saturating_sub(self.clock.now());
-                    if self.wait_applied((at >> 16) - 1, left) {
+                    if self.wait_taken((at >> 16) - 1, left) {
                         return self.view(&seen).ok_or_else(|| {
                             Fail::new(
                                 Kind::Conflict,
@@ -303,7 +338,7 @@
         progress.first = page.first;
         progress.down = false;
         if next >= page.head {
-            progress.fresh = Some(began);
+            progress.fresh = progress.fresh.max(Some(began));
         }
         drop(progress);
         self.moved.notify_all();
--- a/tests/fold_settle.rs
+++ b/tests/fold_settle.rs
@@ -4,7 +4,7 @@
     clock::SystemClock,
     error::{Kind, Res},
     fold::{Fold, Follower, Pos},
-    store::{AppendError, Log, Page},
+    store::{AppendError, Entry, Log, Page},
 };
 use serde::{Deserialize, Serialize};
 use std::{
@@ -68,6 +68,56 @@
     }
 }
 
+/// A log whose reads hear nothing while they wait; a read that does not wait shows what there is.
+#[derive(Debug, Clone, Default)]
+struct DeafLog(Arc<Mutex<Vec<Entry>>>);
+
+impl Log for DeafLog {
+    fn append(&self, _: &str, bytes: &[u8]) -> Result<u64, AppendError> {
+        let mut entries = self.0.lock().expect("log");
+        let offset = entries.len() as u64;
+        let bytes = bytes.to_vec();
+        entries.push(Entry { offset, bytes });
+        Ok(offset)
+    }
+
+    fn read(&self, _: &str, from: u64, wait: Duration) -> Res<Page> {
+        if !wait.is_zero() {
+            thread::sleep(wait);
+            return Ok(Page::default());
+        }
+        let entries = self.0.lock().expect("log").clone();
+        Ok(Page {
+            first: 0,
+            head: entries.len() as u64,
+            entries: entries.into_iter().skip(from as usize).collect(),
+        })
+    }
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Sum(u64);
+
+impl Fold for Sum {
+    type Record = u64;
+    const STREAM: &'static str = "sum";
+
+    fn apply(&mut self, _: Pos, rec: &u64) {
+        self.0 += rec;
+    }
+}
+
+#[test]
+fn settle_record_that_no_waiting_read_hears_of() {
+    let log = DeafLog::default();
+    let follower = Follower::<Sum, _, _>::new(log, SystemClock::new(), Duration::ZERO);
+    let follower = Arc::new(follower);
+    follower.start();
+    let seen = |sum: &Sum| (sum.0 == 7).then_some(());
+    assert_eq!(follower.settle(&7, Duration::from_secs(5), seen), Ok(()));
+    follower.stop();
+}
+
 fn start(log: &HeldLog) -> Arc<Follower<Nothing, HeldLog, SystemClock>> {
     let follower = Follower::new(log.clone(), SystemClock::new(), Duration::ZERO);
     let follower = Arc::new(follower);
