A host that has lost the log asks peers, and only a probe asks the log; peers that lost it too say so

Cause: on hosts cut off from the store every stream tried the store again each 2 s in the way of requests (1 to 1.5 s each, in which results were refused as stale), and asked three fixed neighbours, which may be cut off or dead as well: a claim took 2.9 s. Change: peers first from the first failure on, the last one that helped first, up to 9 of 36; one probe each 500 ms asks the log; a peer that has lost the log answers at once. Test: relay_lost (two tests, both failed before).

--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -1,9 +1,9 @@
 //! Reads and appends to the log through other hosts while this one cannot reach it.
 
-use super::{Call, Host, Plugin, Port, Route, serve_call};
+use super::{Call, Host, Plugin, Port, Route, Task, serve_call};
 use crate::{
     clock::Time,
-    error::{Ran, Res},
+    error::{Fail, Kind, Ran, Res},
     http::Exchange,
     store::{AppendError, Log, Page, SharedLog},
     wire::{Name, Peer},
@@ -11,15 +11,22 @@
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use std::{
-    io,
+    cell::RefCell,
+    fmt, io,
     sync::{Arc, Mutex, OnceLock},
     time::Duration,
 };
 
-/// Peers that are asked for a page before the read has failed.
+/// Peers that a host turns to for what is asked all the time.
 const PEERS: usize = 3;
+/// Peers that a host ever turns to for the log, so that its connections stay few in a large fleet.
+const POOL: usize = 36;
+/// Most peers that are tried for one call; a third of the hosts may have lost the log together.
+const TRIES: usize = 9;
 /// Longest time for a call to a peer beyond the wait that was asked for.
 const LIMIT: Duration = Duration::from_secs(1);
+/// What a host answers that cannot help a peer.
+const LOST: &str = "this host cannot reach the log either";
 /// Time for which peers are left alone after none of them could read the log.
 const PEER_BACKOFF: Duration = Duration::from_secs(2);
 /// Time beyond the wait that was asked for after which a failed read was a timeout.
@@ -28,8 +35,9 @@
 const PATIENCE_FACTOR: u32 = 8;
 /// Shortest time for which an append is waited for; an append takes some 10 ms with its way.
 const PATIENCE_MIN: Duration = Duration::from_millis(150);
-/// Time for which peers are asked first after the log could not be read.
-const LOG_BACKOFF: Duration = Duration::from_secs(2);
+/// Time between two looks at whether the log can be reached again: a fraction of the second that a
+/// call of which nothing is heard takes.
+const PROBE_EVERY: Duration = Duration::from_millis(500);
 
 inventory::submit! {
     Plugin {
@@ -38,7 +46,7 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/log/read", handle: serve_read },
             Route { port: Port::Peer, method: "POST", path: "/peer/log/append", handle: serve_append },
         ],
-        tasks: &[],
+        tasks: &[Task { name: "relay-probe", every: PROBE_EVERY, run: probe }],
         stop: |_| {},
     }
 }
@@ -81,6 +89,10 @@
 
 /// The log; calls go through a peer while the log cannot be reached.
 ///
+/// From the first failed call on, peers are asked first, and the log only if none of them can answer:
+/// a call of which nothing is heard takes a second, in which a caller has long gone elsewhere. A task
+/// of its own looks whether the log can be reached again.
+///
 /// A peer answers from a read of the log that it makes for the call, so that a page is as fresh as
 /// one from the log itself. An append goes through a peer only where it is certain that the log did
 /// not take it before; an answer of the peer that is lost leaves its outcome unknown.
@@ -91,10 +103,13 @@
     state: Arc<Mutex<Backoff>>,
 }
 
-/// Until when the log or the peers are not the first to be asked.
+/// Whether the log is the first to be asked, and from when on peers are.
 #[derive(Debug, Clone, Copy, Default)]
 struct Backoff {
-    log: Time,
+    /// Whether the last call to the log failed.
+    away: bool,
+    /// Peers that were passed over because none of them could help.
+    turn: usize,
     peers: Time,
     /// What the last append that the log took directly took.
     spent: Duration,
@@ -116,26 +131,47 @@
 
     fn read_direct(&self, stream: &str, from: u64, wait: Duration) -> Res<Page> {
         let result = self.log.read(stream, from, wait);
-        if let Some(host) = self.host.get() {
-            let until = match &result {
-                Ok(_) => Time::ZERO,
-                Err(_) => host.now() + LOG_BACKOFF,
-            };
-            self.state.lock().expect("backoff").log = until;
-        }
+        self.note(stream, result.as_ref().err());
         result
     }
 
+    /// Takes account of a call to the log.
+    fn note(&self, stream: &str, error: Option<impl fmt::Debug>) {
+        let mut state = self.state.lock().expect("backoff");
+        let was_away = std::mem::replace(&mut state.away, error.is_some());
+        match error {
+            Some(error) if !was_away => tracing::info!(stream, ?error, "log_lost"),
+            None if was_away => tracing::info!(stream, "log_back"),
+            _ => {}
+        }
+    }
+
     /// Time after which an append that has not been answered is better made by another host: some times
     /// what appends take at present.
     pub fn patience(&self) -> Duration {
         (self.state().spent * PATIENCE_FACTOR).max(PATIENCE_MIN)
     }
 
+    /// Whether the last call to the log failed.
+    pub fn is_lost(&self) -> bool {
+        self.state().away
+    }
+
+    /// Fails at once where this host cannot help a peer that has lost the log.
+    ///
+    /// # Errors
+    /// `NotReady`: this host has lost it too.
+    pub fn check(&self) -> Res<()> {
+        match self.is_lost() {
+            true => Err(Fail::new(Kind::NotReady, LOST)),
+            false => Ok(()),
+        }
+    }
+
     /// Whether this host can certainly not append: its last call to the log failed, and no neighbour
     /// answers.
     pub fn is_cut_off(&self, host: &Host) -> bool {
-        if self.state().log == Time::ZERO {
+        if !self.state().away {
             return false;
         }
         let neighbours = neighbours(host);
@@ -146,12 +182,14 @@
     fn append_direct(&self, host: &Host, stream: &str, bytes: &[u8]) -> Result<u64, AppendError> {
         let began = host.now();
         let result = self.log.append(stream, bytes);
-        let mut state = self.state.lock().expect("backoff");
         match &result {
-            Ok(_) => state.spent = host.now().saturating_sub(began),
+            Ok(_) => {
+                let spent = host.now().saturating_sub(began);
+                self.state.lock().expect("backoff").spent = spent;
+            }
             Err(error) => {
                 tracing::info!(stream, ?error, "append_failed");
-                state.log = host.now() + LOG_BACKOFF;
+                self.note(stream, Some(error));
             }
         }
         result
@@ -166,14 +204,64 @@
             from,
             wait,
         };
-        let page = reachable(host)
-            .iter()
-            .find_map(|peer| host.call(peer.addr, &call, wait + LIMIT).ok());
+        let page = self.try_peers(host, |peer| host.call(peer.addr, &call, wait + LIMIT).ok());
         if page.is_none() {
             self.state.lock().expect("backoff").peers = host.now() + PEER_BACKOFF;
         }
         page
     }
+
+    /// The first answer that `ask` gets, beginning with the peer that last had one. Peers that do not
+    /// answer probes are left out.
+    pub fn try_peers<T>(&self, host: &Host, ask: impl Fn(&Peer) -> Option<T>) -> Option<T> {
+        let turn = self.state().turn;
+        let mut peers = host.members.owners(&host.me.name, POOL + 1);
+        peers.retain(|p| p.name != host.me.name);
+        let count = peers.len().max(1);
+        peers.rotate_left(turn % count);
+        for (n, peer) in peers.iter().enumerate().take(TRIES) {
+            if host.members.is_down(&peer.name) {
+                continue;
+            }
+            host.members.watch(peer, host.now());
+            if let Some(answer) = ask(peer) {
+                self.state.lock().expect("backoff").turn = (turn + n) % count;
+                return Some(answer);
+            }
+        }
+        None
+    }
+
+    /// Appends through the first peer that can; `None` if none can be reached. A peer that is certain
+    /// that the log did not take the record is passed over.
+    fn append_relayed(
+        &self,
+        host: &Host,
+        stream: &str,
+        bytes: &[u8],
+    ) -> Option<Result<u64, AppendError>> {
+        let call = AppendCall {
+            stream: stream.into(),
+            bytes: ByteBuf::from(bytes),
+        };
+        let refused = RefCell::new(None);
+        let result = self.try_peers(host, |peer| {
+            match host.call(peer.addr, &call, LIMIT) {
+                Ok(AppendReply::Taken(offset)) => return Some(Ok(offset)),
+                Ok(AppendReply::NotTaken(text)) => {
+                    let error = AppendError::NotTaken(text.to_string());
+                    *refused.borrow_mut() = Some(Err(error));
+                }
+                Ok(AppendReply::Unknown(text)) => {
+                    return Some(Err(AppendError::Unknown(text.to_string())));
+                }
+                Err(fail) if fail.kind.row().ran == Ran::No => {}
+                Err(fail) => return Some(Err(AppendError::Unknown(fail.text.to_string()))),
+            }
+            None
+        });
+        result.or(refused.into_inner())
+    }
 }
 
 /// The peers that this host turns to: a few, spread over failure domains, other ones for each
@@ -185,28 +273,21 @@
     peers
 }
 
-/// The neighbours that answer probes.
-fn reachable(host: &Host) -> Vec<Peer> {
-    let mut peers = neighbours(host);
-    peers.retain(|p| !host.members.is_down(&p.name));
-    peers
-}
-
 impl Log for RelayLog {
     fn append(&self, stream: &str, bytes: &[u8]) -> Result<u64, AppendError> {
         let Some(host) = self.host.get() else {
             return self.log.append(stream, bytes);
         };
-        if host.now() < self.state().log {
-            return match append_relayed(host, stream, bytes) {
+        if self.state().away {
+            return match self.append_relayed(host, stream, bytes) {
                 Some(result) => result,
                 None => self.append_direct(host, stream, bytes),
             };
         }
         match self.append_direct(host, stream, bytes) {
-            Err(AppendError::NotTaken(text)) => {
-                append_relayed(host, stream, bytes).unwrap_or(Err(AppendError::NotTaken(text)))
-            }
+            Err(AppendError::NotTaken(text)) => self
+                .append_relayed(host, stream, bytes)
+                .unwrap_or(Err(AppendError::NotTaken(text))),
             result => result,
         }
     }
@@ -215,7 +296,7 @@
         let Some(host) = self.host.get() else {
             return self.log.read(stream, from, wait);
         };
-        if host.now() < self.state().log
+        if self.state().away
             && let Some(page) = self.read_relayed(host, stream, from, wait)
         {
             return Ok(page);
@@ -230,33 +311,24 @@
     }
 }
 
-/// Appends through the first peer that answers; `None` if none can be reached. A peer that is certain
-/// that the log did not take the record is passed over.
-fn append_relayed(host: &Host, stream: &str, bytes: &[u8]) -> Option<Result<u64, AppendError>> {
-    let call = AppendCall {
-        stream: stream.into(),
-        bytes: ByteBuf::from(bytes),
-    };
-    let mut refused = None;
-    for peer in reachable(host) {
-        match host.call(peer.addr, &call, LIMIT) {
-            Ok(AppendReply::Taken(offset)) => return Some(Ok(offset)),
-            Ok(AppendReply::NotTaken(text)) => {
-                refused = Some(Err(AppendError::NotTaken(text.to_string())));
-            }
-            Ok(AppendReply::Unknown(text)) => {
-                return Some(Err(AppendError::Unknown(text.to_string())));
-            }
-            Err(fail) if fail.kind.row().ran == Ran::No => {}
-            Err(fail) => return Some(Err(AppendError::Unknown(fail.text.to_string()))),
-        }
+/// Looks whether a log that was lost can be reached again.
+fn probe(host: &Arc<Host>) {
+    if host.relay.state().away {
+        let stream = host.config.stream();
+        // What it finds is noted there, with the error.
+        let _ = host
+            .relay
+            .read_direct(stream, host.config.progress().next, Duration::ZERO);
     }
-    refused
 }
 
-/// Appends for a peer. The log is asked directly: a peer of a peer is no better than this one.
+/// Appends for a peer. The log is asked directly: a peer of a peer is no better than this one. A host
+/// that has lost the log says so at once, so that the next one is asked.
 fn serve_append(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
     serve_call(host, exchange, |host, call: AppendCall| {
+        if host.relay.is_lost() {
+            return Ok(AppendReply::NotTaken(LOST.into()));
+        }
         Ok(match host.log.append(&call.stream, &call.bytes) {
             Ok(offset) => AppendReply::Taken(offset),
             Err(AppendError::NotTaken(text)) => AppendReply::NotTaken(text.into()),
@@ -267,6 +339,7 @@
 
 fn serve_read(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
     serve_call(host, exchange, |host, call: ReadCall| {
+        host.relay.check()?;
         host.log.read(&call.stream, call.from, call.wait.min(LIMIT))
     })
 }
--- a/src/member/task.rs
+++ b/src/member/task.rs
@@ -4,7 +4,7 @@
 use crate::{
     clock::Time,
     http::Exchange,
-    kernel::{Call, Host, Plugin, Port, Route, Task, neighbours, serve_call},
+    kernel::{Call, Host, Plugin, Port, Route, Task, serve_call},
     store::{Hosts, Listed, Standing},
     wire::Peer,
 };
@@ -97,10 +97,8 @@
     let call = AnnounceCall {
         listed: listed.clone(),
     };
-    let peers = neighbours(host);
-    peers
-        .iter()
-        .any(|peer| host.call(peer.addr, &call, PROBE_LIMIT).is_ok())
+    let ask = |peer: &Peer| host.call(peer.addr, &call, PROBE_LIMIT).ok();
+    host.relay.try_peers(host, ask).is_some()
 }
 
 fn announce_for(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
--- /dev/null
+++ b/tests/relay_lost.rs
@@ -0,0 +1,134 @@
+//! Reads and appends of a host that has lost the log.
+
+use gooseberrytack::{
+    config::{self, Change, Item, ObjectId, Sort},
+    error::{Fail, Kind, Res},
+    kernel::{Edges, Host, neighbours},
+    settings::Settings,
+    store::{AppendError, Log, Page, SharedLog},
+};
+use standin::{Harness, Plan, ini, wait_for};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+const LIMIT: Duration = Duration::from_secs(30);
+/// Changes while the log is lost: one each 100 ms, so that any pause of up to 3 s ends meanwhile.
+const CHANGES: usize = 30;
+
+/// A log that can be lost, and counts what it is asked for meanwhile but for looks that do not wait.
+#[derive(Clone)]
+struct LostLog {
+    log: SharedLog,
+    lost: Arc<AtomicBool>,
+    asked: Arc<AtomicUsize>,
+}
+
+impl Log for LostLog {
+    fn append(&self, stream: &str, bytes: &[u8]) -> Result<u64, AppendError> {
+        if self.lost.load(Ordering::Relaxed) {
+            self.asked.fetch_add(1, Ordering::Relaxed);
+            return Err(AppendError::NotTaken("lost".into()));
+        }
+        self.log.append(stream, bytes)
+    }
+
+    fn read(&self, stream: &str, from: u64, wait: Duration) -> Res<Page> {
+        if self.lost.load(Ordering::Relaxed) {
+            self.asked
+                .fetch_add(usize::from(!wait.is_zero()), Ordering::Relaxed);
+            return Err(Fail::new(Kind::LogDown, "lost"));
+        }
+        self.log.read(stream, from, wait)
+    }
+}
+
+fn change(n: usize) -> Change {
+    let item = Item::Model {
+        version: "1".into(),
+        adapters: vec![],
+    };
+    let id = ObjectId::new(Sort::Model, format!("m{n}"));
+    Change::new(format!("c{n}"), "ada", "test").edit(id, 0, Some(item))
+}
+
+#[test]
+fn lost_log_is_not_asked_while_peers_answer() {
+    let harness = Harness::bare(Plan {
+        hosts: 2,
+        ..Plan::default()
+    });
+    let text = ini("far", "c", &harness.log.url(), &harness.list.url());
+    let settings = Settings::parse("test", &text).expect("settings");
+    let (lost, asked): (Arc<AtomicBool>, Arc<AtomicUsize>) = Default::default();
+    let edges = |client: &_| {
+        let own = Edges::own(&settings, client);
+        let log = LostLog {
+            log: own.log,
+            lost: lost.clone(),
+            asked: asked.clone(),
+        };
+        Edges {
+            log: SharedLog(Arc::new(log)),
+            ..own
+        }
+    };
+    let host = Host::start_with(settings.clone(), edges).expect("the host starts");
+    wait_for("all hosts listed", || host.members.live().len() == 3);
+    config::apply(&host, &change(0), LIMIT).expect("accepted by the log");
+    lost.store(true, Ordering::Relaxed);
+    // The reads that were under way when the log was lost have ended.
+    let since = host.now();
+    wait_for("every stream read through a peer", || {
+        let jobs = host.batch.streams.followed();
+        let jobs = jobs.iter().map(|s| s.jobs.progress().fresh);
+        let own = [
+            host.config.progress().fresh,
+            host.homes.progress().fresh,
+            host.calls.progress().fresh,
+        ];
+        own.into_iter().chain(jobs).all(|fresh| fresh > Some(since))
+    });
+    let before = asked.load(Ordering::Relaxed);
+    for n in 1..=CHANGES {
+        config::apply(&host, &change(n), LIMIT).expect("accepted through a peer");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let asked = asked.load(Ordering::Relaxed) - before;
+    assert_eq!(asked, 0, "times that the lost log was asked");
+    lost.store(false, Ordering::Relaxed);
+    let through = harness.host(0).config.progress().next;
+    config::apply(&host, &change(CHANGES + 1), LIMIT).expect("accepted");
+    wait_for("the change at a peer", || {
+        harness.host(0).config.progress().next > through
+    });
+    host.kill();
+}
+
+#[test]
+fn next_peers_help_where_the_first_have_lost_the_log_too() {
+    let harness = Harness::bare(Plan {
+        hosts: 6,
+        ..Plan::default()
+    });
+    harness.wait_listed();
+    let host = harness.host(0);
+    let first = neighbours(host);
+    assert_eq!(first.len(), 3, "some hosts are left");
+    for (i, other) in harness.hosts().iter().enumerate() {
+        if i == 0 || first.iter().any(|p| p.name == other.me.name) {
+            harness.endpoint(i).faults().set(|f| f.down = true);
+        }
+    }
+    for n in 0..5 {
+        config::apply(host, &change(n), LIMIT).expect("accepted through another peer");
+    }
+    let since = host.now();
+    wait_for("a fresh read through another peer", || {
+        host.config.progress().fresh > Some(since)
+    });
+}
