While the log is lost only the probe asks it; peers that cannot help are left alone for 100 ms at first

Cause: the log's connections were reset for 60 ms on all hosts; a host that read through them left peers alone for 2 s and asked the log itself, which it was cut off from, one second each time: a claim was read back after 2.8 s. Ruled out: dead neighbours (they answered probes). Change: back-off 100 ms doubling to 1 s; no read or append goes to a lost log; an append that is refused at once does not count as a loss.

--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -26,9 +26,12 @@
 /// Longest time for a call to a peer beyond the wait that was asked for.
 const LIMIT: Duration = Duration::from_secs(1);
 /// What a host answers that cannot help a peer.
-const LOST: &str = "this host cannot reach the log either";
-/// Time for which peers are left alone after none of them could read the log.
-const PEER_BACKOFF: Duration = Duration::from_secs(2);
+const LOST: &str = "this host cannot reach the log";
+/// Time for which peers are left alone after none of them could read the log; twice as long after each
+/// further time. A connection of theirs that was cut is back in some 10 ms.
+const BACKOFF_MIN: Duration = Duration::from_millis(100);
+/// Longest such time: the time in which a peer notices that the log is back.
+const BACKOFF_MAX: Duration = Duration::from_secs(1);
 /// Time beyond the wait that was asked for after which a failed read was a timeout.
 const CUT_MAX: Duration = Duration::from_millis(500);
 /// Times that an append may take longer than the last one before it counts as not answered.
@@ -89,9 +92,9 @@
 
 /// The log; calls go through a peer while the log cannot be reached.
 ///
-/// From the first failed call on, peers are asked first, and the log only if none of them can answer:
-/// a call of which nothing is heard takes a second, in which a caller has long gone elsewhere. A task
-/// of its own looks whether the log can be reached again.
+/// From the first failed read on, or an append of which nothing was heard, only peers are asked: a call
+/// of which nothing is heard takes a second, in which a caller has long gone elsewhere. A task of its
+/// own looks whether the log can be reached again.
 ///
 /// A peer answers from a read of the log that it makes for the call, so that a page is as fresh as
 /// one from the log itself. An append goes through a peer only where it is certain that the log did
@@ -110,7 +113,10 @@
     away: bool,
     /// Peers that were passed over because none of them could help.
     turn: usize,
+    /// Until when peers are left alone.
     peers: Time,
+    /// Time for which they are left alone if none of them can help the next time.
+    pause: Duration,
     /// What the last append that the log took directly took.
     spent: Duration,
 }
@@ -182,14 +188,15 @@
     fn append_direct(&self, host: &Host, stream: &str, bytes: &[u8]) -> Result<u64, AppendError> {
         let began = host.now();
         let result = self.log.append(stream, bytes);
+        let spent = host.now().saturating_sub(began);
         match &result {
-            Ok(_) => {
-                let spent = host.now().saturating_sub(began);
-                self.state.lock().expect("backoff").spent = spent;
-            }
+            Ok(_) => self.state.lock().expect("backoff").spent = spent,
             Err(error) => {
-                tracing::info!(stream, ?error, "append_failed");
-                self.note(stream, Some(error));
+                tracing::info!(stream, ?error, ?spent, "append_failed");
+                // A log that refuses at once can be reached.
+                if spent >= self.patience() || matches!(error, AppendError::Unknown(_)) {
+                    self.note(stream, Some(error));
+                }
             }
         }
         result
@@ -205,9 +212,12 @@
             wait,
         };
         let page = self.try_peers(host, |peer| host.call(peer.addr, &call, wait + LIMIT).ok());
-        if page.is_none() {
-            self.state.lock().expect("backoff").peers = host.now() + PEER_BACKOFF;
-        }
+        let mut state = self.state.lock().expect("backoff");
+        state.pause = match &page {
+            Some(_) => Duration::ZERO,
+            None => (state.pause * 2).clamp(BACKOFF_MIN, BACKOFF_MAX),
+        };
+        state.peers = host.now() + state.pause;
         page
     }
 
@@ -278,36 +288,36 @@
         let Some(host) = self.host.get() else {
             return self.log.append(stream, bytes);
         };
-        if self.state().away {
-            return match self.append_relayed(host, stream, bytes) {
-                Some(result) => result,
-                None => self.append_direct(host, stream, bytes),
-            };
-        }
-        match self.append_direct(host, stream, bytes) {
-            Err(AppendError::NotTaken(text)) => self
-                .append_relayed(host, stream, bytes)
-                .unwrap_or(Err(AppendError::NotTaken(text))),
-            result => result,
-        }
+        let refused = match self.is_lost() {
+            true => AppendError::NotTaken(LOST.into()),
+            false => match self.append_direct(host, stream, bytes) {
+                Err(AppendError::NotTaken(text)) => AppendError::NotTaken(text),
+                result => return result,
+            },
+        };
+        self.append_relayed(host, stream, bytes)
+            .unwrap_or(Err(refused))
     }
 
     fn read(&self, stream: &str, from: u64, wait: Duration) -> Res<Page> {
         let Some(host) = self.host.get() else {
             return self.log.read(stream, from, wait);
         };
-        if self.state().away
-            && let Some(page) = self.read_relayed(host, stream, from, wait)
-        {
-            return Ok(page);
-        }
-        let began = host.now();
-        let mut page = self.read_direct(stream, from, wait);
-        // A connection that was cut says nothing of the log; one that timed out does.
-        if page.is_err() && host.now().saturating_sub(began) < wait + CUT_MAX {
-            page = self.read_direct(stream, from, wait);
-        }
-        page.or_else(|e| self.read_relayed(host, stream, from, wait).ok_or(e))
+        let fail = if self.is_lost() {
+            Fail::new(Kind::LogDown, LOST)
+        } else {
+            let began = host.now();
+            let mut page = self.read_direct(stream, from, wait);
+            // A connection that was cut says nothing of the log; one that timed out does.
+            if page.is_err() && host.now().saturating_sub(began) < wait + CUT_MAX {
+                page = self.read_direct(stream, from, wait);
+            }
+            match page {
+                Err(fail) => fail,
+                page => return page,
+            }
+        };
+        self.read_relayed(host, stream, from, wait).ok_or(fail)
     }
 }
 
