--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -14,7 +14,7 @@
     job,
     limit::{Homes, Limits},
     member::Members,
-    metrics::{LogWatch, Served},
+    metrics::{LogWatch, Meters, Served},
     once::Calls,
     order::Orders,
     pass::{Dialect, Registry},
@@ -93,8 +93,12 @@
     pub watch: LogWatch,
     /// What callers and batch jobs got.
     pub served: Served,
-    /// Metrics.
+    /// Metrics that are sent to a collector.
     pub metrics: Arc<StatsdClient>,
+    /// Metrics that a collector fetches.
+    pub meters: Arc<Meters>,
+    /// Address at which a collector fetches them, if there is one.
+    pub fetched: Option<SocketAddr>,
     /// Address of the callers' port.
     pub caller: SocketAddr,
     /// Address of the operators' port.
@@ -143,16 +147,20 @@
         let caller = listen(settings.caller, settings.bounds, Port::Caller, &slot, face)?;
         let peer = listen(settings.peer, peer_bounds, Port::Peer, &slot, None)?;
         let control = listen(settings.control, peer_bounds, Port::Control, &slot, None)?;
-        let ready = settings
-            .ready
-            .map(|a| listen(a, peer_bounds, Port::Ready, &slot, None));
-        let ready = ready.transpose()?;
+        let side = |addr: Option<SocketAddr>, port| {
+            let server = addr.map(|a| listen(a, peer_bounds, port, &slot, None));
+            server.transpose()
+        };
+        let ready = side(settings.ready, Port::Ready)?;
+        let collector = side(settings.metrics, Port::Metrics)?;
+        let fetched = collector.as_ref().map(Server::addr);
         let me = Peer {
             name: start_name(&settings.name),
             addr: peer.addr(),
             domain: settings.domain.clone(),
         };
         let metrics = Arc::new(metrics(settings.statsd)?);
+        let meters = Arc::new(Meters::default());
         let host = Arc::new(Self {
             config: follow(&relay, &clock, &settings),
             homes: follow(&relay, &clock, &settings),
@@ -165,10 +173,17 @@
             batch: Batch::new(&relay, &clock, &settings),
             snapshots: Snapshots::default(),
             orders: Orders::default(),
-            timeline: Timeline::new(me.name.clone(), settings.events, metrics.clone()),
+            timeline: Timeline::new(
+                me.name.clone(),
+                settings.events,
+                metrics.clone(),
+                meters.clone(),
+            ),
             watch: LogWatch::default(),
-            served: Served::default(),
+            served: Served::new(meters.clone()),
             metrics,
+            meters,
+            fetched,
             caller: caller.addr(),
             control: control.addr(),
             declared: Declared::default(),
@@ -177,7 +192,13 @@
             stopping: AtomicBool::new(false),
             dead: AtomicBool::new(false),
             ended: Default::default(),
-            servers: Mutex::new([caller, control, peer].into_iter().chain(ready).collect()),
+            servers: Mutex::new(
+                [caller, control, peer]
+                    .into_iter()
+                    .chain(ready)
+                    .chain(collector)
+                    .collect(),
+            ),
             settings,
             me,
             clock,
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -33,6 +33,8 @@
     Control,
     /// For the balancer's question whether the host is ready.
     Ready,
+    /// For a collector that fetches the metrics.
+    Metrics,
 }
 
 /// A path that a role answers.
--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -190,7 +190,10 @@
         let result = self.log.append(stream, bytes);
         let spent = host.now().saturating_sub(began);
         match &result {
-            Ok(_) => self.state.lock().expect("backoff").spent = spent,
+            Ok(_) => {
+                self.state.lock().expect("backoff").spent = spent;
+                host.meters.append(spent);
+            }
             Err(error) => {
                 tracing::info!(stream, ?error, ?spent, "append_failed");
                 // A log that refuses at once can be reached.
@@ -239,6 +242,7 @@
                 return Some(answer);
             }
         }
+        host.meters.helpless();
         None
     }
 
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -1,16 +1,21 @@
 //! Periodic gauges, and an event when the log fails or works again. Events are counted where they
 //! are noted, see `timeline`.
 
+mod meters;
 mod served;
 
+pub use meters::{Gauges, Meters};
 pub use served::{Figure, Served};
 
 use crate::{
-    kernel::{Host, Plugin, Task},
+    http::Exchange,
+    kernel::{Host, Plugin, Port, Route, Task},
+    logs,
     timeline::Happening,
 };
 use cadence::{Counted, Gauged, MetricResult};
 use std::{
+    io,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -21,6 +26,9 @@
 /// Time between two reports of the gauges.
 const EVERY: Duration = Duration::from_secs(5);
 
+/// Content type of the metrics.
+const CONTENT: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// Time between two looks at whether the log can be read.
 const WATCH_EVERY: Duration = Duration::from_millis(500);
 
@@ -33,7 +41,9 @@
 inventory::submit! {
     Plugin {
         name: "metrics",
-        routes: &[],
+        routes: &[
+            Route { port: Port::Metrics, method: "GET", path: "/metrics", handle: tell },
+        ],
         tasks: &[
             Task { name: "gauges", every: EVERY, run: report },
             Task { name: "log-watch", every: WATCH_EVERY, run: watch },
@@ -51,20 +61,48 @@
     }
 }
 
+/// Answers a collector that fetches the metrics.
+fn tell(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
+    let gauges = host.meters.gauges();
+    let (open, busy) = host.load();
+    gauges.connections.set(open as i64);
+    gauges.requests.set(busy as i64);
+    gauges.ready.set(i64::from(host.is_ready()));
+    let streams = host.batch.streams.followed();
+    gauges.streams.set(streams.len() as i64);
+    let oldest = streams.iter().map(|s| age(host, s.jobs.progress().fresh));
+    gauges.jobs_age.set(oldest.max().unwrap_or(0) as i64);
+    let homes = age(host, host.homes.progress().fresh);
+    gauges.homes_age.set(homes as i64);
+    gauges.dropped.set(logs::dropped() as i64);
+    let text = host.meters.text().map_err(io::Error::other)?;
+    exchange.send(200, CONTENT, text.as_bytes())
+}
+
+/// Milliseconds since `fresh`; more than any other age if there was no reading yet.
+fn age(host: &Host, fresh: Option<Duration>) -> u64 {
+    fresh.map_or(u64::MAX >> 1, |f| {
+        host.now().saturating_sub(f).as_millis() as u64
+    })
+}
+
 fn report(host: &Arc<Host>) {
     let (open, busy) = host.load();
     gauge(host, "connections", open as u64);
     gauge(host, "requests", busy as u64);
-    let now = host.now();
-    let age = |fresh: Option<Duration>| {
-        fresh.map_or(u64::MAX, |f| now.saturating_sub(f).as_millis() as u64)
-    };
-    gauge(host, "config.age_ms", age(host.config.progress().fresh));
+    gauge(
+        host,
+        "config.age_ms",
+        age(host, host.config.progress().fresh),
+    );
     let streams = host.batch.streams.followed();
-    let oldest = streams.iter().map(|s| age(s.jobs.progress().fresh)).max();
+    let oldest = streams
+        .iter()
+        .map(|s| age(host, s.jobs.progress().fresh))
+        .max();
     gauge(host, "jobs.age_ms", oldest.unwrap_or(0));
     gauge(host, "jobs.streams", streams.len() as u64);
-    gauge(host, "homes.age_ms", age(host.homes.progress().fresh));
+    gauge(host, "homes.age_ms", age(host, host.homes.progress().fresh));
     gauge(host, "ready", u64::from(host.is_ready()));
     for figure in host.served.take() {
         match figure {
--- a/src/metrics/served.rs
+++ b/src/metrics/served.rs
@@ -1,10 +1,11 @@
 //! What callers and batch jobs got from this host, gathered between two reports.
 
+use super::Meters;
 use crate::{clock::Time, error::Kind};
 use hdrhistogram::Histogram;
 use std::{
     sync::{
-        Mutex, MutexGuard,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -21,6 +22,8 @@
     times: Mutex<Times>,
     /// Batch tokens generated.
     batch: AtomicU64,
+    /// The same since the start.
+    meters: Arc<Meters>,
 }
 
 #[derive(Debug)]
@@ -50,6 +53,13 @@
 
 impl Default for Served {
     fn default() -> Self {
+        Self::new(Arc::default())
+    }
+}
+
+impl Served {
+    /// Nothing was served yet; what is recorded goes to `meters` too.
+    pub fn new(meters: Arc<Meters>) -> Self {
         Self {
             times: Mutex::new(Times {
                 first: histogram(),
@@ -57,18 +67,19 @@
                 refused: Vec::new(),
             }),
             batch: AtomicU64::new(0),
+            meters,
         }
     }
-}
 
-impl Served {
     /// Records the time from a request's arrival to its first token.
     pub fn first(&self, time: Duration) {
+        self.meters.first(time);
         self.lock().first.saturating_record(micros(time));
     }
 
     /// Records the time between two tokens of a request.
     pub fn gap(&self, time: Duration) {
+        self.meters.gap(time);
         self.lock().gap.saturating_record(micros(time));
     }
 
@@ -83,6 +94,7 @@
 
     /// Counts a request that was refused or failed.
     pub fn refused(&self, kind: Kind) {
+        self.meters.refused(kind);
         let refused = &mut self.lock().refused;
         match refused.binary_search_by_key(&kind, |r| r.kind) {
             Ok(at) => refused[at].count += 1,
@@ -92,6 +104,7 @@
 
     /// Counts a batch token.
     pub fn batch_token(&self) {
+        self.meters.batch_token();
         self.batch.fetch_add(1, Ordering::Relaxed);
     }
 
--- a/src/route/acquire.rs
+++ b/src/route/acquire.rs
@@ -2,6 +2,7 @@
 
 use super::dispatch::{Run, Sink};
 use crate::{
+    clock::Time,
     error::{Fail, Kind, Res},
     gate::{Ask, Counts, Reply, Slot},
     timeline::Happening,
@@ -39,7 +40,8 @@
     /// No slot by the deadline, or nobody wants the answer any more.
     pub(super) fn acquire(&mut self) -> Res<Slot> {
         let ask = self.next_ask();
-        let patience = self.host.now() + BATCH_PATIENCE;
+        let began = self.host.now();
+        let patience = began + BATCH_PATIENCE;
         let mut pauses = Duration::ZERO;
         loop {
             self.look()?;
@@ -57,10 +59,10 @@
                 Err(fail) => return Err(fail),
             };
             match self.ask_around(&ask, &order) {
-                Asked::Slot(slot) => return Ok(self.granted(slot)),
+                Asked::Slot(slot) => return Ok(self.granted(slot, began)),
                 Asked::Shortest(server) => {
                     if let Some(slot) = self.wait_at(&ask, &server)? {
-                        return Ok(self.granted(slot));
+                        return Ok(self.granted(slot, began));
                     }
                 }
                 Asked::None if pauses < PAUSES_MAX => {
@@ -111,7 +113,9 @@
         }
     }
 
-    fn granted(&self, slot: Slot) -> Slot {
+    fn granted(&self, slot: Slot, began: Time) -> Slot {
+        let waited = self.host.now().saturating_sub(began);
+        self.host.meters.slot(waited);
         let timeline = &self.host.timeline;
         timeline.note(Happening::Granted, &slot.id, None, &slot.server);
         slot
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -29,7 +29,9 @@
     pub log: Name,
     /// Base URL of the host list.
     pub list: Name,
-    /// Address of the metrics collector, if any.
+    /// Address at which a collector may fetch the metrics, if any.
+    pub metrics: Option<SocketAddr>,
+    /// Address of the collector that metrics are sent to, if any.
     pub statsd: Option<SocketAddr>,
     /// Bounds of the callers' port.
     pub bounds: Bounds,
@@ -102,6 +104,7 @@
             token,
             log: r.url("platform", "log"),
             list: r.url("platform", "list"),
+            metrics: r.addr_if_any("metrics", "listen"),
             statsd: r.addr_if_any("metrics", "statsd"),
             bounds,
             deadline: r.millis("limits", "deadline_ms", 100, 3_600_000, 60_000),
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -4,7 +4,7 @@
 //! distributed system", 1978): each call between hosts carries the sender's stamp, so that sorting
 //! by stamp puts a cause before its effect whatever the wall clocks say.
 
-use crate::wire::Name;
+use crate::{metrics::Meters, wire::Name};
 use cadence::{Counted, StatsdClient};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -104,17 +104,20 @@
     clock: AtomicU64,
     ring: Mutex<VecDeque<Event>>,
     metrics: Arc<StatsdClient>,
+    meters: Arc<Meters>,
 }
 
 impl Timeline {
-    /// A time line of `host` that keeps the last `limit` events and counts each in `metrics`.
-    pub fn new(host: Name, limit: usize, metrics: Arc<StatsdClient>) -> Self {
+    /// A time line of `host` that keeps the last `limit` events and counts each in `metrics` and
+    /// `meters`.
+    pub fn new(host: Name, limit: usize, metrics: Arc<StatsdClient>, meters: Arc<Meters>) -> Self {
         Self {
             host,
             limit,
             clock: AtomicU64::new(0),
             ring: Mutex::default(),
             metrics,
+            meters,
         }
     }
 
@@ -135,6 +138,7 @@
         }
         ring.push_back(event);
         drop(ring);
+        self.meters.event(what);
         let _ = self.metrics.count(&format!("events.{what:?}"), 1);
         tracing::info!(event = ?what, host = %self.host, seq, id, at, note);
     }
--- /dev/null
+++ b/tests/metrics_text.rs
@@ -0,0 +1,78 @@
+//! Metrics as text at an address of their own.
+
+use gooseberrytack::http::{Client, Timeouts};
+use standin::{Got, Harness, Plan, wait_for};
+use std::time::Duration;
+
+const LIMIT: Duration = Duration::from_secs(60);
+
+fn start() -> Harness {
+    Harness::start(Plan {
+        hosts: 1,
+        tune: |s| s.metrics = Some("127.0.0.1:0".parse().expect("an address")),
+        ..Plan::default()
+    })
+}
+
+/// The metrics of the only host.
+fn fetch(harness: &Harness) -> String {
+    let addr = harness.host(0).fetched.expect("an address");
+    let url = format!("http://{addr}/metrics");
+    let client = Client::new();
+    let reply = client.call("GET", &url, &[], b"", Timeouts::within(LIMIT));
+    let reply = reply.expect("an answer");
+    assert_eq!(reply.status, 200);
+    String::from_utf8(reply.body).expect("text")
+}
+
+/// Value of the line that begins with `name` and a space.
+fn value(text: &str, name: &str) -> f64 {
+    let mut lines = text.lines();
+    let line = lines.find(|l| l.strip_prefix(name).is_some_and(|r| r.starts_with(' ')));
+    let line = line.unwrap_or_else(|| panic!("no {name} in\n{text}"));
+    let last = line.rsplit(' ').next().expect("a value");
+    last.parse().expect("a number")
+}
+
+#[test]
+fn fetch_counts_what_was_served_and_refused() {
+    let harness = start();
+    let caller = harness.caller(0);
+    for n in 0..3 {
+        let got = caller.ask(&format!("q{n}"), 5);
+        assert!(matches!(got, Got::Whole(_)), "{got:?}");
+    }
+    let url = format!("{}/v1/models", harness.url(0));
+    let key = [("authorization", "Bearer nobody")];
+    let client = Client::new();
+    let reply = client.call("GET", &url, &key, b"", Timeouts::within(LIMIT));
+    assert_eq!(reply.expect("an answer").status, 401);
+    wait_for("the last slot given back", || {
+        let text = fetch(&harness);
+        value(&text, "gooseberrytack_requests") <= 1.0
+    });
+    let text = fetch(&harness);
+    assert_eq!(
+        value(&text, "gooseberrytack_events_total{event=\"Granted\"}"),
+        3.0
+    );
+    assert_eq!(value(&text, "gooseberrytack_slot_wait_seconds_count"), 3.0);
+    assert_eq!(
+        value(&text, "gooseberrytack_first_piece_seconds_count"),
+        3.0
+    );
+    assert!(value(&text, "gooseberrytack_first_piece_seconds_sum") > 0.0);
+    assert!(value(&text, "gooseberrytack_log_append_seconds_count") > 0.0);
+    assert_eq!(value(&text, "gooseberrytack_ready"), 1.0);
+    assert_eq!(value(&text, "gooseberrytack_log_lines_dropped"), 0.0);
+    assert!(text.ends_with("# EOF\n"), "{text}");
+}
+
+#[test]
+fn fetch_knows_one_path() {
+    let harness = start();
+    let addr = harness.host(0).fetched.expect("an address");
+    let url = format!("http://{addr}/other");
+    let reply = Client::new().call("GET", &url, &[], b"", Timeouts::within(LIMIT));
+    assert_eq!(reply.expect("an answer").status, 404);
+}
