--- a/src/batch/keep.rs
+++ b/src/batch/keep.rs
@@ -8,7 +8,7 @@
     clock::{Clock, Time},
     fold::{Appended, Pos},
     job::{PartRef, Record, State},
-    kernel::{Host, Plugin, Task},
+    kernel::{Host, On, Plugin, Task},
     lease,
     timeline::Happening,
 };
@@ -30,9 +30,9 @@
         name: "batch",
         routes: super::api::ROUTES,
         tasks: &[
-            Task { name: "batch_look", every: LOOK, run: look },
-            Task { name: "batch_tick", every: Duration::from_millis(250), run: tick_all },
-            Task { name: "batch_place", every: Duration::from_millis(100), run: readers::place },
+            Task { name: "batch_look", every: LOOK, run: look, on: On::All },
+            Task { name: "batch_tick", every: Duration::from_millis(250), run: tick_all, on: On::All },
+            Task { name: "batch_place", every: Duration::from_millis(100), run: readers::place, on: On::All },
         ],
         stop,
     }
--- a/src/config/ends.rs
+++ b/src/config/ends.rs
@@ -7,7 +7,7 @@
 use super::{Change, Edit, Item, Record, Sort, State};
 use crate::{
     http::Exchange,
-    kernel::{Call, Host, Plugin, Port, Route, Task, neighbours, serve_call},
+    kernel::{Call, Host, On, Plugin, Port, Route, Task, neighbours, serve_call},
 };
 use serde::{Deserialize, Serialize};
 use std::{
@@ -27,7 +27,7 @@
     Plugin {
         name: "ends",
         routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/clock", handle: serve }],
-        tasks: &[Task { name: "ends", every: EVERY, run: withdraw_ended }],
+        tasks: &[Task { name: "ends", every: EVERY, run: withdraw_ended, on: On::Own }],
         stop: |_| {},
     }
 }
--- a/src/config/peer_state.rs
+++ b/src/config/peer_state.rs
@@ -3,7 +3,7 @@
 use super::State;
 use crate::{
     http::Exchange,
-    kernel::{Call, Host, Plugin, Port, Route, Task, neighbours, serve_call},
+    kernel::{Call, Host, On, Plugin, Port, Route, Task, neighbours, serve_call},
     timeline::Happening,
 };
 use serde::{Deserialize, Serialize};
@@ -18,7 +18,7 @@
     Plugin {
         name: "peer-state",
         routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/state/config", handle: serve }],
-        tasks: &[Task { name: "peer-state", every: EVERY, run: catch_up }],
+        tasks: &[Task { name: "peer-state", every: EVERY, run: catch_up, on: On::Own }],
         stop: |_| {},
     }
 }
@@ -64,9 +64,6 @@
 /// Asks neighbours for their state while reads fail or none has succeeded yet.
 fn catch_up(host: &Arc<Host>) {
     let progress = host.config.progress();
-    if host.dialect.is_some() {
-        return;
-    }
     if progress.fresh.is_some() && !progress.down {
         return;
     }
--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -8,7 +8,7 @@
     clock::Time,
     config::{Key, Model, PassRoute, Server, State, Workspace},
     http::Exchange,
-    kernel::{Call, Host, Plugin, Port, Route, Task, neighbours, serve_call},
+    kernel::{Call, Host, On, Plugin, Port, Route, Task, serve_call},
     timeline::Happening,
     wire::Name,
 };
@@ -30,7 +30,7 @@
     Plugin {
         name: "declared",
         routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/declared", handle: serve }],
-        tasks: &[Task { name: "declared", every: EVERY, run: catch_up }],
+        tasks: &[Task { name: "declared", every: EVERY, run: catch_up, on: On::All }],
         stop: |_| {},
     }
 }
@@ -183,6 +183,14 @@
     fleet_age: Option<Duration>,
 }
 
+impl DeclaredReply {
+    /// Whether the peer has read both lately.
+    fn is_fresh(&self) -> bool {
+        let ages = [self.catalog_age, self.fleet_age];
+        ages.iter().all(|age| age.is_some_and(|a| a < STALE))
+    }
+}
+
 impl Call for DeclaredCall {
     type Reply = DeclaredReply;
     const PATH: &'static str = "/peer/declared";
@@ -203,7 +211,7 @@
     })
 }
 
-/// Asks neighbours while the source cannot be read.
+/// Asks peers while the source cannot be read, until one has read it lately.
 fn catch_up(host: &Arc<Host>) {
     if host.dialect.is_none() || host.is_stopping() {
         return;
@@ -212,7 +220,7 @@
     if fresh.is_some_and(|f| host.now().saturating_sub(f) < STALE) {
         return;
     }
-    for peer in neighbours(host) {
+    host.relay.try_peers(host, |peer| {
         let known = host.declared.lock();
         let call = DeclaredCall {
             catalog: known.catalog.at,
@@ -221,10 +229,17 @@
         drop(known);
         let began = host.now();
         match host.call(peer.addr, &call, LIMIT) {
-            Ok(reply) => take(host, reply, began),
-            Err(fail) => tracing::debug!(peer = &*peer.name, error = %fail, "peer_state_not_read"),
+            Ok(reply) => {
+                let is_fresh = reply.is_fresh();
+                take(host, reply, began);
+                is_fresh.then_some(())
+            }
+            Err(fail) => {
+                tracing::debug!(peer = &*peer.name, error = %fail, "peer_state_not_read");
+                None
+            }
         }
-    }
+    });
 }
 
 fn take(host: &Host, reply: DeclaredReply, began: Time) {
--- a/src/entry/withdraw.rs
+++ b/src/entry/withdraw.rs
@@ -7,7 +7,7 @@
     config::{Item, State},
     fold::Pos,
     http::Exchange,
-    kernel::{Call, Host, Plugin, Port, Route, Task, serve_call},
+    kernel::{Call, Host, On, Plugin, Port, Route, Task, serve_call},
     timeline::Happening,
     wire::{Name, Peer},
 };
@@ -32,7 +32,7 @@
     Plugin {
         name: "withdraw",
         routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/keys/withdraw", handle: serve }],
-        tasks: &[Task { name: "withdraw", every: EVERY, run: pass_on }],
+        tasks: &[Task { name: "withdraw", every: EVERY, run: pass_on, on: On::Own }],
         stop: |_| {},
     }
 }
--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -24,8 +24,10 @@
 /// Longest time for a cancel at a server.
 const CANCEL_LIMIT: Duration = Duration::from_millis(500);
 /// Longest time without a look at whether there is something to cancel.
-const NAP: Duration = Duration::from_millis(100);
-/// Pause before a cancel that found nothing is sent again; it grows up to [`NAP`].
+const NAP: Duration = Duration::from_secs(1);
+/// Longest pause before a cancel that found nothing is sent again.
+const CANCEL_PAUSE: Duration = Duration::from_millis(100);
+/// Pause before it is sent again for the first time; it doubles.
 const CANCEL_AGAIN: Duration = Duration::from_millis(2);
 
 /// The queues of one host.
@@ -281,7 +283,7 @@
                 return self.follow(gate, &inner, turn);
             }
             host.clock.sleep(pause);
-            pause = NAP.min(pause * 2);
+            pause = CANCEL_PAUSE.min(pause * 2);
         }
     }
 
--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -23,7 +23,7 @@
 /// Time for which a gate that failed to answer is passed over.
 const DOWN: Duration = Duration::from_secs(1);
 /// Longest time without a look at whether there is something to give back.
-const NAP: Duration = Duration::from_millis(100);
+const NAP: Duration = Duration::from_secs(1);
 
 /// Slots that this host holds, and what it has yet to give back.
 #[derive(Debug, Default)]
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     http::Exchange,
-    kernel::{Host, Plugin, Port, Route, Task, serve_call},
+    kernel::{Host, On, Plugin, Port, Route, Task, serve_call},
     share::Totals,
 };
 use std::{
@@ -38,11 +38,11 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/yield", handle: give_way },
         ],
         tasks: &[
-            Task { name: "gate-renew", every: RENEW_EVERY, run: |h| h.gates.held.renew(h) },
-            Task { name: "gate-sweep", every: RENEW_EVERY, run: |h| h.gates.queues.sweep(h) },
-            Task { name: "gate-served", every: REPORT_EVERY, run: fleet::report },
-            Task { name: "gate-flush", every: Duration::ZERO, run: |h| h.gates.held.flush(h) },
-            Task { name: "gate-cancel", every: Duration::ZERO, run: |h| h.gates.queues.cancel_evicted(h) },
+            Task { name: "gate-renew", every: RENEW_EVERY, run: |h| h.gates.held.renew(h), on: On::All },
+            Task { name: "gate-sweep", every: RENEW_EVERY, run: |h| h.gates.queues.sweep(h), on: On::All },
+            Task { name: "gate-served", every: REPORT_EVERY, run: fleet::report, on: On::All },
+            Task { name: "gate-flush", every: Duration::ZERO, run: |h| h.gates.held.flush(h), on: On::All },
+            Task { name: "gate-cancel", every: Duration::ZERO, run: |h| h.gates.queues.cancel_evicted(h), on: On::All },
         ],
         stop: |_| {},
     }
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -1,6 +1,6 @@
 //! One host: its state, its ports and threads, and how they start and stop.
 
-use super::{Edges, Handler, Plugin, Port, RelayLog, Router, Task};
+use super::{Edges, Handler, On, Plugin, Port, RelayLog, Router, Task};
 use crate::{
     batch::Batch,
     clock::{Clock, SystemClock, Time},
@@ -126,6 +126,11 @@
         Self::start_with(settings.clone(), edges)
     }
 
+    /// Whether the configuration comes through this product's own interface and its log.
+    pub fn is_own(&self) -> bool {
+        self.dialect.is_none()
+    }
+
     /// Starts a host with other edges than this product's own.
     ///
     /// # Errors
@@ -208,13 +213,15 @@
             list,
         });
         let _ = slot.set(host.clone());
-        if host.dialect.is_none() {
+        if host.is_own() {
             host.config.start();
+            // Only this product's own interface has calls that run at most once.
+            host.calls.start();
         }
         host.batch.start(&host);
         host.homes.start();
-        host.calls.start();
-        for task in inventory::iter::<Plugin>().flat_map(|p| p.tasks) {
+        let tasks = inventory::iter::<Plugin>().flat_map(|p| p.tasks);
+        for task in tasks.filter(|t| t.on == On::All || host.is_own()) {
             run_task(&host, task)?;
         }
         let note = format!("caller={} control={}", host.caller, host.control);
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -59,6 +59,18 @@
     pub every: Duration,
     /// One run; short, so that a stop is not held up.
     pub run: fn(&Arc<Host>),
+    /// Hosts that need it.
+    pub on: On,
+}
+
+/// Hosts that need a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum On {
+    /// All.
+    All,
+    /// Those whose configuration comes through this product's own interface and its log, not from an
+    /// outside system.
+    Own,
 }
 
 /// A role of the daemon.
--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -1,6 +1,6 @@
 //! Reads and appends to the log through other hosts while this one cannot reach it.
 
-use super::{Call, Host, Plugin, Port, Route, Task, serve_call};
+use super::{Call, Host, On, Plugin, Port, Route, Task, serve_call};
 use crate::{
     clock::Time,
     error::{Fail, Kind, Ran, Res},
@@ -49,7 +49,7 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/log/read", handle: serve_read },
             Route { port: Port::Peer, method: "POST", path: "/peer/log/append", handle: serve_append },
         ],
-        tasks: &[Task { name: "relay-probe", every: PROBE_EVERY, run: probe }],
+        tasks: &[Task { name: "relay-probe", every: PROBE_EVERY, run: probe, on: On::All }],
         stop: |_| {},
     }
 }
--- a/src/limit/task.rs
+++ b/src/limit/task.rs
@@ -9,7 +9,7 @@
 use crate::{
     config::Workspace,
     http::Exchange,
-    kernel::{Host, Plugin, Port, Route, Task, serve_call},
+    kernel::{Host, On, Plugin, Port, Route, Task, serve_call},
 };
 use std::{io, sync::Arc, time::Duration};
 
@@ -27,8 +27,8 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/limit/borrow", handle: borrow },
         ],
         tasks: &[
-            Task { name: "slots", every: EVERY, run: claim_some },
-            Task { name: "proof", every: EVERY, run: prove },
+            Task { name: "slots", every: EVERY, run: claim_some, on: On::All },
+            Task { name: "proof", every: EVERY, run: prove, on: On::All },
         ],
         stop: release,
     }
--- a/src/member/reach.rs
+++ b/src/member/reach.rs
@@ -4,7 +4,7 @@
 use crate::{
     clock::Time,
     http::Exchange,
-    kernel::{Call, Host, Plugin, Port, Route, Task, serve_call},
+    kernel::{Call, Host, On, Plugin, Port, Route, Task, serve_call},
     wire::{Name, Peer},
 };
 use rand::seq::IndexedRandom;
@@ -24,7 +24,7 @@
     Plugin {
         name: "reach",
         routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/member/reach", handle: serve }],
-        tasks: &[Task { name: "reach", every: EVERY, run: ask }],
+        tasks: &[Task { name: "reach", every: EVERY, run: ask, on: On::All }],
         stop: |_| {},
     }
 }
--- a/src/member/task.rs
+++ b/src/member/task.rs
@@ -4,7 +4,7 @@
 use crate::{
     clock::Time,
     http::Exchange,
-    kernel::{Call, Host, Plugin, Port, Route, Task, serve_call},
+    kernel::{Call, Host, On, Plugin, Port, Route, Task, serve_call},
     store::{Hosts, Listed, Standing},
     wire::Peer,
 };
@@ -33,9 +33,9 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/member/announce", handle: announce_for },
         ],
         tasks: &[
-            Task { name: "announce", every: EVERY, run: announce },
-            Task { name: "list", every: EVERY, run: read_list },
-            Task { name: "probe", every: EVERY, run: probe },
+            Task { name: "announce", every: EVERY, run: announce, on: On::All },
+            Task { name: "list", every: EVERY, run: read_list, on: On::All },
+            Task { name: "probe", every: EVERY, run: probe, on: On::All },
         ],
         stop: leave,
     }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     http::Exchange,
-    kernel::{Host, Plugin, Port, Route, Task},
+    kernel::{Host, On, Plugin, Port, Route, Task},
     logs,
     timeline::Happening,
 };
@@ -45,8 +45,8 @@
             Route { port: Port::Metrics, method: "GET", path: "/metrics", handle: tell },
         ],
         tasks: &[
-            Task { name: "gauges", every: EVERY, run: report },
-            Task { name: "log-watch", every: WATCH_EVERY, run: watch },
+            Task { name: "gauges", every: EVERY, run: report, on: On::All },
+            Task { name: "log-watch", every: WATCH_EVERY, run: watch, on: On::All },
         ],
         stop: |_| {},
     }
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -16,7 +16,7 @@
 pub use seen::Orders;
 pub use step::{Placement, Step, Track};
 
-use crate::kernel::{Plugin, Port, Route, Task};
+use crate::kernel::{On, Plugin, Port, Route, Task};
 use std::time::Duration;
 
 /// Time between two looks at the servers. Servers are read back less often.
@@ -31,7 +31,7 @@
             path: "/peer/order/loaded",
             handle: issue::serve_loaded,
         }],
-        tasks: &[Task { name: "orders", every: EVERY, run: issue::run }],
+        tasks: &[Task { name: "orders", every: EVERY, run: issue::run, on: On::Own }],
         stop: |_| {},
     }
 }
--- a/src/snapshot/task.rs
+++ b/src/snapshot/task.rs
@@ -4,7 +4,7 @@
 use crate::{
     clock::Clock,
     fold::{Fold, Progress},
-    kernel::{Follow, Host, Plugin, Task},
+    kernel::{Follow, Host, On, Plugin, Task},
     timeline::Happening,
     wire::Name,
 };
@@ -23,10 +23,10 @@
         name: "snapshot",
         routes: &[],
         tasks: &[
-            Task { name: "snap_config", every: LOOK, run: |h| step(h, &h.config, &h.snapshots.config) },
-            Task { name: "snap_jobs", every: LOOK, run: step_jobs },
-            Task { name: "snap_homes", every: LOOK, run: |h| step(h, &h.homes, &h.snapshots.homes) },
-            Task { name: "snap_calls", every: LOOK, run: |h| step(h, &h.calls, &h.snapshots.calls) },
+            Task { name: "snap_config", every: LOOK, run: |h| step(h, &h.config, &h.snapshots.config), on: On::Own },
+            Task { name: "snap_jobs", every: LOOK, run: step_jobs, on: On::Own },
+            Task { name: "snap_homes", every: LOOK, run: |h| step(h, &h.homes, &h.snapshots.homes), on: On::Own },
+            Task { name: "snap_calls", every: LOOK, run: |h| step(h, &h.calls, &h.snapshots.calls), on: On::Own },
         ],
         stop: |_| {},
     }
