A connection that is ended as idle does not make its caller seem gone

Ruled out: the end of the process (it stopped 20 ms later), the drain limit. Change: the server marks a connection whose reading side it closes; only a write shows then that the caller is gone; a request that cannot arrive whole any more is refused as stopping.

--- a/src/http/conns.rs
+++ b/src/http/conns.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::{Shutdown, TcpStream},
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -30,6 +33,8 @@
 struct Conn {
     id: u64,
     stream: Arc<TcpStream>,
+    /// Set before its reading side is closed from here.
+    deaf: Arc<AtomicBool>,
     standing: Standing,
     /// Since when it waits for a request.
     since: Instant,
@@ -65,9 +70,9 @@
         }
     }
 
-    /// Takes a new connection in. Without room, the connection that is idle for the longest time
-    /// ends.
-    pub(super) fn admit(&self, stream: &Arc<TcpStream>) -> Room {
+    /// Takes a new connection in; `deaf` is set before its reading side is closed from here. Without
+    /// room, the connection that is idle for the longest time ends.
+    pub(super) fn admit(&self, stream: &Arc<TcpStream>, deaf: &Arc<AtomicBool>) -> Room {
         let mut list = self.lock();
         let served = list.count(|s| s != Standing::Ending);
         let room = served < self.limit || list.evict();
@@ -79,6 +84,7 @@
         list.conns.push(Conn {
             id,
             stream: stream.clone(),
+            deaf: deaf.clone(),
             standing: if room {
                 Standing::Idle
             } else {
@@ -166,6 +172,7 @@
     /// Ends the connection after the request that its socket already holds, if any.
     fn end(&mut self) {
         self.standing = Standing::Ending;
+        self.deaf.store(true, Ordering::Release);
         let _ = self.stream.shutdown(Shutdown::Read);
     }
 }
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -24,6 +24,8 @@
     /// The request.
     pub request: Request,
     conn: Arc<TcpStream>,
+    /// Whether the connection's reading side was closed from here.
+    deaf: Arc<AtomicBool>,
     stopping: Arc<AtomicBool>,
     state: State,
 }
@@ -91,10 +93,16 @@
 }
 
 impl Exchange {
-    pub(super) fn new(request: Request, conn: Arc<TcpStream>, stopping: Arc<AtomicBool>) -> Self {
+    pub(super) fn new(
+        request: Request,
+        conn: Arc<TcpStream>,
+        deaf: Arc<AtomicBool>,
+        stopping: Arc<AtomicBool>,
+    ) -> Self {
         Self {
             request,
             conn,
+            deaf,
             stopping,
             state: State::Open,
         }
@@ -221,14 +229,15 @@
         self.state = State::Broken;
     }
 
-    /// Whether the caller closed the connection.
+    /// Whether the caller closed the connection. Where its reading side was closed from here, as for a
+    /// connection that seemed idle, only a write shows that.
     pub fn is_gone(&self) -> bool {
         if self.conn.set_nonblocking(true).is_err() {
             return true;
         }
         let mut byte = [0];
         let gone = match self.conn.peek(&mut byte) {
-            Ok(0) => true,
+            Ok(0) => !self.deaf.load(Ordering::Acquire),
             Ok(_) => false,
             Err(e) => e.kind() != ErrorKind::WouldBlock,
         };
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -210,7 +210,8 @@
     H: Fn(&mut Exchange) + Send + Sync + 'static,
 {
     let stream = Arc::new(stream);
-    let room = shared.conns.admit(&stream);
+    let deaf = Arc::default();
+    let room = shared.conns.admit(&stream, &deaf);
     let (Room::Serve(id) | Room::Refuse(id)) = room else {
         return;
     };
@@ -218,7 +219,7 @@
     let run = move || {
         let _forget = Forget { shared: &all, id };
         if room == Room::Serve(id) {
-            serve(&stream, &all, id, &*handler);
+            serve(&stream, &deaf, &all, id, &*handler);
         } else {
             let text = "too many connections; try another host";
             refuse(&stream, &Fail::new(Kind::Overloaded, text));
@@ -243,7 +244,7 @@
 }
 
 /// Serves the requests of one connection, one after the other.
-fn serve<H>(stream: &Arc<TcpStream>, shared: &Shared, id: u64, handler: &H)
+fn serve<H>(stream: &Arc<TcpStream>, deaf: &Arc<AtomicBool>, shared: &Shared, id: u64, handler: &H)
 where
     H: Fn(&mut Exchange),
 {
@@ -256,9 +257,19 @@
         shared.conns.set_busy(id, true);
         let request = match input.request(bounds) {
             Ok(request) => request,
+            // The rest could not arrive any more.
+            Err(_) if deaf.load(Ordering::Acquire) => {
+                let text = "the connection ends; send the request again";
+                return refuse(stream, &Fail::new(Kind::Stopping, text));
+            }
             Err(fail) => return refuse(stream, &fail),
         };
-        let mut exchange = Exchange::new(request, stream.clone(), shared.stopping.clone());
+        let mut exchange = Exchange::new(
+            request,
+            stream.clone(),
+            deaf.clone(),
+            shared.stopping.clone(),
+        );
         answer(&mut exchange, handler);
         if !exchange.may_continue() {
             return;
--- a/tests/http_bounds.rs
+++ b/tests/http_bounds.rs
@@ -330,3 +330,30 @@
     assert!(answer.contains("connection: close"), "{answer}");
     assert!(answer.ends_with("late"), "{answer}");
 }
+
+#[test]
+fn stop_takes_no_caller_for_gone_that_just_asked() {
+    const CONNS: usize = 400;
+    for _ in 0..3 {
+        // A handler that looks, as a long answer does, whether its caller went away.
+        let gone = Arc::new(AtomicBool::new(false));
+        let seen = gone.clone();
+        let server = start(Bounds::default(), move |exchange| {
+            thread::sleep(Duration::from_millis(5));
+            seen.fetch_or(exchange.is_gone(), Ordering::Relaxed);
+            let _ = exchange.send(200, "text/plain", b"done");
+        });
+        let mut conns: Vec<TcpStream> = (0..CONNS).map(|_| connect(&server)).collect();
+        // So long that a stop ends them as idle.
+        thread::sleep(Duration::from_millis(700));
+        thread::scope(|scope| {
+            scope.spawn(|| server.stop(PATIENCE));
+            for conn in conns.iter_mut().rev() {
+                let _ = conn.write_all(GET.as_bytes());
+            }
+        });
+        drop(conns);
+        let gone = gone.load(Ordering::Relaxed);
+        assert!(!gone, "a caller that waits was taken for gone");
+    }
+}
