--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -28,6 +28,9 @@
 /// Least time to come back when no lender can be reached: a host's own part gives a token about that
 /// often, and lenders are asked again after a tenth of a second.
 const COME_BACK: Duration = Duration::from_millis(400);
+/// Time from the start of a host, where all hosts have started anew, until rate slots are lent from
+/// again: the longest loan of the holder before with its margin, and half a second to claim the slots.
+const OPENING: Duration = Duration::from_millis(1250 + 500);
 /// Longest wait for another request's loan before a new look.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -208,7 +211,7 @@
                 Step::Refuse { .. } if now >= end => {
                     let text = "no host can lend a rate token now; send the request again";
                     let fail = Fail::new(Kind::RateLimited, text);
-                    return Err(fail.retry_after(patience.max(COME_BACK)));
+                    return Err(fail.retry_after(patience.max(come_back(now))));
                 }
                 Step::Refuse { after, .. } => self.wait(balance, after.min(LOOK)),
             }
@@ -285,6 +288,13 @@
     host.call(peer.addr, &call, ASK_LIMIT).ok()
 }
 
+/// Time to come back for a request for which no host can lend, at a host that has run for `up`. A host
+/// that has just started finds no lenders where the others have just started too: one that comes back
+/// before slots are lent from would only be refused again.
+pub fn come_back(up: Time) -> Duration {
+    OPENING.saturating_sub(up).max(COME_BACK)
+}
+
 fn refused(workspace: &Name, after: Time) -> Fail {
     let text = format!("workspace \"{workspace}\" is over its rate; wait and send it again");
     Fail::new(Kind::RateLimited, text).retry_after(after)
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -16,7 +16,7 @@
 mod split;
 mod task;
 
-pub use account::{Limits, Permit};
+pub use account::{Limits, Permit, come_back};
 pub use borrow::{Ask, Balance, Step, Token};
 pub use bucket::{Bucket, Loan, loan_span, minted};
 pub use call::Borrow;
--- a/tests/limit_own.rs
+++ b/tests/limit_own.rs
@@ -3,7 +3,7 @@
 
 use gooseberrytack::{
     config::Workspace,
-    limit::{Own, divide},
+    limit::{LOAN_MAX, Own, come_back, divide, loan_span, share},
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -95,3 +95,28 @@
     assert!(own.take(60_000, 2 * SECOND));
     assert!(!own.take(60_000, 2 * SECOND), "two tokens came of one");
 }
+
+/// All hosts have just started, and no slot is lent from yet: a caller that comes back when it is told to
+/// finds the loans of the holders before at an end, whatever the rate.
+#[test]
+fn come_back_is_after_the_loans_of_earlier_holders() {
+    let longest = [1, 20, 60, 2_820, 100_001]
+        .map(|rate| loan_span(share(&workspace(rate, 20), 0)))
+        .into_iter()
+        .max()
+        .expect("rates");
+    assert!(longest >= LOAN_MAX);
+    for ms in (0..5_000).step_by(50) {
+        let up = Duration::from_millis(ms);
+        assert!(
+            up + come_back(up) >= longest,
+            "told {:?} at {up:?}",
+            come_back(up)
+        );
+        assert!(come_back(up) >= Duration::from_millis(400), "no storm");
+    }
+    assert_eq!(
+        come_back(Duration::from_secs(60)),
+        Duration::from_millis(400)
+    );
+}
