Peers that were tried in vain are passed over; the probe of a lost log looks every 200 ms

Cause: with more than 9 peers the same 9 were tried for ever where none of them had the log. Test: relay_lost::only_peer_that_has_the_log_is_found_among_many (Unsettled before).

--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -39,8 +39,8 @@
 /// Shortest time for which an append is waited for; an append takes some 10 ms with its way.
 const PATIENCE_MIN: Duration = Duration::from_millis(150);
 /// Time between two looks at whether the log can be reached again: a fraction of the second that a
-/// call of which nothing is heard takes.
-const PROBE_EVERY: Duration = Duration::from_millis(500);
+/// call of which nothing is heard takes, so that a short break is over soon.
+const PROBE_EVERY: Duration = Duration::from_millis(200);
 
 inventory::submit! {
     Plugin {
@@ -103,12 +103,12 @@
 pub struct RelayLog {
     log: SharedLog,
     host: Arc<OnceLock<Arc<Host>>>,
-    state: Arc<Mutex<Backoff>>,
+    state: Arc<Mutex<Standing>>,
 }
 
-/// Whether the log is the first to be asked, and from when on peers are.
+/// Whether the log can be reached, and which peers are asked where it cannot.
 #[derive(Debug, Clone, Copy, Default)]
-struct Backoff {
+struct Standing {
     /// Whether the last call to the log failed.
     away: bool,
     /// Peers that were passed over because none of them could help.
@@ -131,8 +131,8 @@
         }
     }
 
-    fn state(&self) -> Backoff {
-        *self.state.lock().expect("backoff")
+    fn state(&self) -> Standing {
+        *self.state.lock().expect("standing")
     }
 
     fn read_direct(&self, stream: &str, from: u64, wait: Duration) -> Res<Page> {
@@ -143,7 +143,7 @@
 
     /// Takes account of a call to the log.
     fn note(&self, stream: &str, error: Option<impl fmt::Debug>) {
-        let mut state = self.state.lock().expect("backoff");
+        let mut state = self.state.lock().expect("standing");
         let was_away = std::mem::replace(&mut state.away, error.is_some());
         match error {
             Some(error) if !was_away => tracing::info!(stream, ?error, "log_lost"),
@@ -191,7 +191,7 @@
         let spent = host.now().saturating_sub(began);
         match &result {
             Ok(_) => {
-                self.state.lock().expect("backoff").spent = spent;
+                self.state.lock().expect("standing").spent = spent;
                 host.meters.append(spent);
             }
             Err(error) => {
@@ -215,7 +215,7 @@
             wait,
         };
         let page = self.try_peers(host, |peer| host.call(peer.addr, &call, wait + LIMIT).ok());
-        let mut state = self.state.lock().expect("backoff");
+        let mut state = self.state.lock().expect("standing");
         state.pause = match &page {
             Some(_) => Duration::ZERO,
             None => (state.pause * 2).clamp(BACKOFF_MIN, BACKOFF_MAX),
@@ -224,8 +224,8 @@
         page
     }
 
-    /// The first answer that `ask` gets, beginning with the peer that last had one. Peers that do not
-    /// answer probes are left out.
+    /// The first answer that `ask` gets, beginning with the peer that last had one, or with the peers
+    /// after those that were tried last in vain. Peers that do not answer probes are left out.
     pub fn try_peers<T>(&self, host: &Host, ask: impl Fn(&Peer) -> Option<T>) -> Option<T> {
         let turn = self.state().turn;
         let mut peers = host.members.owners(&host.me.name, POOL + 1);
@@ -238,11 +238,12 @@
             }
             host.members.watch(peer, host.now());
             if let Some(answer) = ask(peer) {
-                self.state.lock().expect("backoff").turn = (turn + n) % count;
+                self.state.lock().expect("standing").turn = (turn + n) % count;
                 return Some(answer);
             }
         }
         host.meters.helpless();
+        self.state.lock().expect("standing").turn = (turn + TRIES) % count;
         None
     }
 
--- a/tests/relay_lost.rs
+++ b/tests/relay_lost.rs
@@ -132,3 +132,24 @@
         host.config.progress().fresh > Some(since)
     });
 }
+
+#[test]
+fn only_peer_that_has_the_log_is_found_among_many() {
+    let harness = Harness::bare(Plan {
+        hosts: 12,
+        ..Plan::default()
+    });
+    harness.wait_listed();
+    let host = harness.host(0);
+    let mut order = host.members.owners(&host.me.name, 12);
+    order.retain(|p| p.name != host.me.name);
+    let last = order.last().expect("a peer");
+    for (i, other) in harness.hosts().iter().enumerate() {
+        if other.me.name != last.name {
+            harness.endpoint(i).faults().set(|f| f.down = true);
+        }
+    }
+    for n in 0..3 {
+        config::apply(host, &change(n), LIMIT).expect("accepted through the last peer");
+    }
+}
