A peer's configuration is asked for from all neighbours at the same time, 2 s at most

The peer reads through others and is not stale, so it asks nobody whom it hears of, and word of mouth does not help. Change: all neighbours at once, none that does not answer probes, 2 s.

--- a/src/config/peer_state.rs
+++ b/src/config/peer_state.rs
@@ -5,14 +5,16 @@
     http::Exchange,
     kernel::{Call, Host, On, Plugin, Port, Route, Task, neighbours, serve_call},
     timeline::Happening,
+    wire::Peer,
 };
 use serde::{Deserialize, Serialize};
-use std::{io, sync::Arc, time::Duration};
+use std::{io, sync::Arc, thread, time::Duration};
 
 /// Time between two looks at whether a peer's state is needed.
 const EVERY: Duration = Duration::from_secs(1);
-/// Longest time for a peer to answer.
-const LIMIT: Duration = Duration::from_secs(5);
+/// Longest time for a peer to answer; with the second between two looks below the shortest time for
+/// which a reading counts (`reach_span`, 4 s).
+const LIMIT: Duration = Duration::from_secs(2);
 
 inventory::submit! {
     Plugin {
@@ -61,28 +63,40 @@
     })
 }
 
-/// Asks neighbours for their state while reads fail or none has succeeded yet.
+/// Asks neighbours for their state while reads fail or none has succeeded yet: all of them at the same
+/// time, since those that cannot be reached take the whole limit.
 fn catch_up(host: &Arc<Host>) {
     let progress = host.config.progress();
     if progress.fresh.is_some() && !progress.down {
         return;
     }
-    for peer in neighbours(host) {
-        let call = StateCall {
-            next: host.config.progress().next,
-        };
-        let began = host.now();
-        let Ok(reply) = host.call(peer.addr, &call, LIMIT) else {
-            continue;
-        };
-        let fresh = reply.age.map(|age| began.saturating_sub(age));
-        if host.config.adopt(reply.state, reply.next, fresh) {
-            host.timeline.note(
-                Happening::StateLoaded,
-                "config",
-                Some(reply.next),
-                &peer.name,
-            );
+    thread::scope(|scope| {
+        for peer in neighbours(host) {
+            if !host.members.is_down(&peer.name) {
+                scope.spawn(move || ask_one(host, &peer));
+            }
+        }
+    });
+}
+
+fn ask_one(host: &Host, peer: &Peer) {
+    let call = StateCall {
+        next: host.config.progress().next,
+    };
+    let began = host.now();
+    let reply = match host.call(peer.addr, &call, LIMIT) {
+        Ok(reply) => reply,
+        Err(fail) => {
+            return tracing::debug!(peer = &*peer.name, %fail, "peer_state_not_read");
         }
+    };
+    let fresh = reply.age.map(|age| began.saturating_sub(age));
+    if host.config.adopt(reply.state, reply.next, fresh) {
+        host.timeline.note(
+            Happening::StateLoaded,
+            "config",
+            Some(reply.next),
+            &peer.name,
+        );
     }
 }
