--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -157,7 +157,11 @@
             server.transpose()
         };
         let ready = side(settings.ready, Port::Ready)?;
-        let collector = side(settings.metrics, Port::Metrics)?;
+        // Requests are served without it.
+        let collector = side(settings.metrics, Port::Metrics).unwrap_or_else(|error| {
+            tracing::error!(addr = ?settings.metrics, %error, "metrics_not_served");
+            None
+        });
         let fetched = collector.as_ref().map(Server::addr);
         let me = Peer {
             name: start_name(&settings.name),
--- a/tests/metrics_text.rs
+++ b/tests/metrics_text.rs
@@ -68,6 +68,22 @@
     assert!(text.ends_with("# EOF\n"), "{text}");
 }
 
+#[test]
+fn taken_address_stops_no_host() {
+    let harness = Harness::start(Plan {
+        hosts: 1,
+        tune: |s| {
+            // The address of the list, which another server listens at.
+            let addr = s.list.rsplit('/').next().map(str::parse);
+            s.metrics = addr.and_then(Result::ok);
+        },
+        ..Plan::default()
+    });
+    assert_eq!(harness.host(0).fetched, None);
+    let got = harness.caller(0).ask("q", 5);
+    assert!(matches!(got, Got::Whole(_)), "{got:?}");
+}
+
 #[test]
 fn fetch_knows_one_path() {
     let harness = start();
