Appends leave peers alone too while none has the log

Cause: found on reading: in an outage for all hosts a host with outcomes to commit asked up to 9 peers 20 times a second; reads alone kept the back-off. Test: relay_lost::lost_log_of_all_hosts_makes_no_storm.

--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -206,22 +206,27 @@
     }
 
     fn read_relayed(&self, host: &Host, stream: &str, from: u64, wait: Duration) -> Option<Page> {
-        if host.now() < self.state().peers {
-            return None;
-        }
         let call = ReadCall {
             stream: stream.into(),
             from,
             wait,
         };
-        let page = self.try_peers(host, |peer| host.call(peer.addr, &call, wait + LIMIT).ok());
+        self.log_of_peers(host, |peer| host.call(peer.addr, &call, wait + LIMIT).ok())
+    }
+
+    /// The first answer that `ask` gets, unless peers are left alone because none had the log.
+    fn log_of_peers<T>(&self, host: &Host, ask: impl Fn(&Peer) -> Option<T>) -> Option<T> {
+        if host.now() < self.state().peers {
+            return None;
+        }
+        let answer = self.try_peers(host, ask);
         let mut state = self.state.lock().expect("standing");
-        state.pause = match &page {
+        state.pause = match &answer {
             Some(_) => Duration::ZERO,
             None => (state.pause * 2).clamp(BACKOFF_MIN, BACKOFF_MAX),
         };
         state.peers = host.now() + state.pause;
-        page
+        answer
     }
 
     /// The first answer that `ask` gets, beginning with the peer that last had one, or with the peers
@@ -260,7 +265,7 @@
             bytes: ByteBuf::from(bytes),
         };
         let refused = RefCell::new(None);
-        let result = self.try_peers(host, |peer| {
+        let result = self.log_of_peers(host, |peer| {
             match host.call(peer.addr, &call, LIMIT) {
                 Ok(AppendReply::Taken(offset)) => return Some(Ok(offset)),
                 Ok(AppendReply::NotTaken(text)) => {
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -142,6 +142,11 @@
         self.helpless.inc();
     }
 
+    /// Number of calls to a lost log for which no peer could help.
+    pub fn helpless_count(&self) -> u64 {
+        self.helpless.get()
+    }
+
     /// Records the time from a request's arrival to its first piece.
     pub fn first(&self, time: Duration) {
         self.first.observe(time.as_secs_f64());
--- a/tests/relay_lost.rs
+++ b/tests/relay_lost.rs
@@ -153,3 +153,27 @@
         config::apply(host, &change(n), LIMIT).expect("accepted through the last peer");
     }
 }
+
+#[test]
+fn lost_log_of_all_hosts_makes_no_storm() {
+    let harness = Harness::bare(Plan {
+        hosts: 6,
+        ..Plan::default()
+    });
+    harness.wait_listed();
+    let host = harness.host(0);
+    (0..6).for_each(|i| harness.endpoint(i).faults().set(|f| f.down = true));
+    wait_for("the log lost by all", || {
+        harness.hosts().iter().all(|h| h.relay.is_lost())
+    });
+    let calls = |host: &Host| host.meters.helpless_count();
+    let (before, began) = (calls(host), host.now());
+    for n in 0..40 {
+        let result = config::apply(host, &change(n), Duration::from_millis(100));
+        assert!(result.is_err(), "{result:?}");
+    }
+    // Each time that the peers are asked, they are left alone for 100 ms, then for longer.
+    let most = (host.now() - began).as_millis() as u64 / 100 + 4;
+    let asked = calls(host) - before;
+    assert!(asked <= most, "peers were asked {asked} times");
+}
