--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -92,9 +92,9 @@
 
 /// The log; calls go through a peer while the log cannot be reached.
 ///
-/// From the first failed read on, or an append of which nothing was heard, only peers are asked: a call
-/// of which nothing is heard takes a second, in which a caller has long gone elsewhere. A task of its
-/// own looks whether the log can be reached again.
+/// From the first failed read on, or an append of which nothing was heard for long, only peers are asked:
+/// a call of which nothing is heard takes a second, in which a caller has long gone elsewhere. A task of
+/// its own looks whether the log can be reached again.
 ///
 /// A peer answers from a read of the log that it makes for the call, so that a page is as fresh as
 /// one from the log itself. An append goes through a peer only where it is certain that the log did
@@ -196,8 +196,8 @@
             }
             Err(error) => {
                 tracing::info!(stream, ?error, ?spent, "append_failed");
-                // A log that refuses at once can be reached.
-                if spent >= self.patience() || matches!(error, AppendError::Unknown(_)) {
+                // A log that refuses or cuts a connection at once can be reached.
+                if spent >= self.patience() {
                     self.note(stream, Some(error));
                 }
             }
