--- a/src/member/list.rs
+++ b/src/member/list.rs
@@ -98,8 +98,8 @@
     }
 
     /// Time from the first to the last read of the run of reads that did not show the host. A host
-    /// that was never listed counts as missing from the first read after it was first asked about:
-    /// it may have started after the reads before, and `now` is the time of this question.
+    /// that was never listed counts as missing from the first question about it: it may have started
+    /// after the reads before. `now` is the time of this question.
     pub fn gone_for(&mut self, name: &str, now: Time) -> Option<Duration> {
         let missing = match self.find(name) {
             Ok(i) => self.hosts[i].missing?,
