--- a/src/batch/keep.rs
+++ b/src/batch/keep.rs
@@ -98,7 +98,7 @@
             last = last.max(at);
         }
     }
-    if last == 0 || !stream.jobs.wait_taken((last >> 16) - 1, ROUND_LIMIT) {
+    if last == 0 || !stream.jobs.wait_taken(last, ROUND_LIMIT) {
         return;
     }
     stream.scheduler().lease.renew(sent);
@@ -233,7 +233,7 @@
         keep: keep.as_millis() as u64,
     };
     if let Appended::Taken(at) = stream.jobs.submit(&rec).wait(ROUND_LIMIT) {
-        stream.jobs.wait_taken((at >> 16) - 1, ROUND_LIMIT);
+        stream.jobs.wait_taken(at, ROUND_LIMIT);
     }
 }
 
--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -145,7 +145,7 @@
         items: vec![task.index],
     };
     match stream.jobs.submit(&rec).wait(ANNOUNCE_LIMIT) {
-        Appended::Taken(at) => stream.jobs.wait_taken((at >> 16) - 1, ANNOUNCE_LIMIT),
+        Appended::Taken(at) => stream.jobs.wait_taken(at, ANNOUNCE_LIMIT),
         Appended::NotTaken | Appended::Unknown => return Err(again),
     };
     if is_announced() { Ok(()) } else { Err(again) }
--- a/src/batch/stream.rs
+++ b/src/batch/stream.rs
@@ -287,6 +287,6 @@
 
     /// Waits until every record up to the position `at` was applied, `limit` at most.
     pub(super) fn reached(&self, at: Pos, limit: Duration) -> bool {
-        at == 0 || self.jobs.wait_taken((at >> 16).saturating_sub(1), limit)
+        at == 0 || self.jobs.wait_taken(at, limit)
     }
 }
--- /dev/null
+++ b/src/fold/append.rs
@@ -0,0 +1,108 @@
+//! The appending side of a follower: records wait in a queue and are appended in groups.
+
+use super::{
+    Appended, FRAME_MAX, Fold, Follower, Ticket,
+    follower::PAUSE,
+    frame::{Pending, encode_frame},
+    pos,
+};
+use crate::{
+    clock::Clock,
+    store::{AppendError, Log},
+};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+/// Most bytes of fold records in one log record.
+const FRAME_BYTES: usize = 512 * 1024;
+/// Longest time without a look at whether the follower was stopped.
+const NAP: Duration = Duration::from_millis(500);
+
+impl<F: Fold, L: Log + Clone, C: Clock + Clone> Follower<F, L, C> {
+    /// Queues a record for the next append.
+    pub fn submit(&self, rec: &F::Record) -> Ticket {
+        let ticket = Ticket::default();
+        match rmp_serde::to_vec(rec) {
+            Ok(bytes) => {
+                let pending = Pending {
+                    bytes,
+                    ticket: ticket.clone(),
+                };
+                self.queue.lock().expect("append queue").push(pending);
+                self.queued.notify_all();
+            }
+            Err(_) => ticket.set(Appended::NotTaken),
+        }
+        ticket
+    }
+
+    /// Queues a record and waits up to `limit` for what becomes of it. A record that is still queued
+    /// then is taken out of the queue, so that it is certain that it was not appended.
+    pub(super) fn submit_within(&self, rec: &F::Record, limit: Duration) -> Appended {
+        let ticket = self.submit(rec);
+        match ticket.wait(limit) {
+            Appended::Unknown if self.withdraw(&ticket) => Appended::NotTaken,
+            outcome => outcome,
+        }
+    }
+
+    /// Takes a record out of the queue; `false` if the appending thread already has it.
+    fn withdraw(&self, ticket: &Ticket) -> bool {
+        let mut queue = self.queue.lock().expect("append queue");
+        let found = queue
+            .iter()
+            .position(|p| Arc::ptr_eq(&p.ticket.0, &ticket.0));
+        found.map(|at| queue.remove(at)).is_some()
+    }
+
+    /// Appends what waits, group by group, until the follower is stopped.
+    pub(super) fn append_all(&self) {
+        while !self.stopped.load(Ordering::Relaxed) {
+            let group = self.next_group();
+            if group.is_empty() {
+                continue;
+            }
+            let frame = encode_frame(&group);
+            let outcome = self.log.append(&self.stream, &frame);
+            for (i, pending) in group.iter().enumerate() {
+                pending.ticket.set(match &outcome {
+                    Ok(offset) => Appended::Taken(pos(*offset, i)),
+                    Err(AppendError::NotTaken(_)) => Appended::NotTaken,
+                    Err(AppendError::Unknown(_)) => Appended::Unknown,
+                });
+            }
+            let interval = *self.interval.lock().expect("interval");
+            self.clock.sleep(if outcome.is_ok() {
+                interval
+            } else {
+                interval.max(PAUSE)
+            });
+        }
+        for pending in self.queue.lock().expect("append queue").drain(..) {
+            pending.ticket.set(Appended::NotTaken);
+        }
+    }
+
+    fn next_group(&self) -> Vec<Pending> {
+        let queue = self.queue.lock().expect("append queue");
+        let (mut queue, _) = self
+            .queued
+            .wait_timeout_while(queue, NAP, |q| {
+                q.is_empty() && !self.stopped.load(Ordering::Relaxed)
+            })
+            .expect("append queue");
+        let mut size = 0;
+        let count = queue
+            .iter()
+            .take(FRAME_MAX)
+            .take_while(|p| {
+                let fits = size == 0 || size + p.bytes.len() <= FRAME_BYTES;
+                size += p.bytes.len();
+                fits
+            })
+            .count();
+        queue.drain(..count).collect()
+    }
+}
--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -1,15 +1,15 @@
 //! Follows a stream of the log: reads and applies it, and appends to it in groups.
 
 use super::{
-    Appended, FRAME_MAX, Fold, Ticket,
-    frame::{Pending, decode_frame, encode_frame},
-    pos,
+    Appended, Fold, Pos,
+    frame::{Pending, decode_frame},
+    offset_of, pos,
 };
 use crate::{
     clock::{Clock, Time},
     error::{Fail, Kind, Res},
     snapshot,
-    store::{AppendError, Log, Page},
+    store::{Log, Page},
     wire::Name,
 };
 use std::{
@@ -24,30 +24,28 @@
 /// How long a read of the log waits for news.
 const READ_WAIT: Duration = Duration::from_millis(500);
 /// Pause after a failed read or append.
-const PAUSE: Duration = Duration::from_millis(50);
+pub(super) const PAUSE: Duration = Duration::from_millis(50);
 /// Time after which a record that the log took is read for by itself; a read that waits at the log
 /// hears of a new record within some 10 ms.
 const NUDGE: Duration = Duration::from_millis(30);
 /// Least time left for a further append; one begun later could end without an answer that is heard.
 const LAST_TRY: Duration = Duration::from_millis(500);
-/// Most bytes of fold records in one log record.
-const FRAME_BYTES: usize = 512 * 1024;
 
 /// A stream's state on this host, kept up to date by threads of its own.
 #[derive(Debug)]
 pub struct Follower<F: Fold, L: Log, C: Clock> {
-    stream: Name,
-    log: L,
-    clock: C,
+    pub(super) stream: Name,
+    pub(super) log: L,
+    pub(super) clock: C,
     state: RwLock<F>,
     progress: Mutex<Progress>,
     /// Held while the state is moved on, so that a page and a whole state do not interleave.
     step: Mutex<()>,
     moved: Condvar,
-    queue: Mutex<Vec<Pending>>,
-    queued: Condvar,
-    interval: Mutex<Duration>,
-    stopped: AtomicBool,
+    pub(super) queue: Mutex<Vec<Pending>>,
+    pub(super) queued: Condvar,
+    pub(super) interval: Mutex<Duration>,
+    pub(super) stopped: AtomicBool,
 }
 
 /// How far the stream was read.
@@ -132,42 +130,6 @@
         *self.interval.lock().expect("interval") = interval;
     }
 
-    /// Queues a record for the next append.
-    pub fn submit(&self, rec: &F::Record) -> Ticket {
-        let ticket = Ticket::default();
-        match rmp_serde::to_vec(rec) {
-            Ok(bytes) => {
-                let pending = Pending {
-                    bytes,
-                    ticket: ticket.clone(),
-                };
-                self.queue.lock().expect("append queue").push(pending);
-                self.queued.notify_all();
-            }
-            Err(_) => ticket.set(Appended::NotTaken),
-        }
-        ticket
-    }
-
-    /// Queues a record and waits up to `limit` for what becomes of it. A record that is still queued
-    /// then is taken out of the queue, so that it is certain that it was not appended.
-    fn submit_within(&self, rec: &F::Record, limit: Duration) -> Appended {
-        let ticket = self.submit(rec);
-        match ticket.wait(limit) {
-            Appended::Unknown if self.withdraw(&ticket) => Appended::NotTaken,
-            outcome => outcome,
-        }
-    }
-
-    /// Takes a record out of the queue; `false` if the appending thread already has it.
-    fn withdraw(&self, ticket: &Ticket) -> bool {
-        let mut queue = self.queue.lock().expect("append queue");
-        let found = queue
-            .iter()
-            .position(|p| Arc::ptr_eq(&p.ticket.0, &ticket.0));
-        found.map(|at| queue.remove(at)).is_some()
-    }
-
     /// Waits until the log record at `offset` was applied; `false` if that took longer than
     /// `limit`.
     pub fn wait_applied(&self, offset: u64, limit: Duration) -> bool {
@@ -181,10 +143,11 @@
         guard.next > offset
     }
 
-    /// Waits until the log record at `offset`, which the log has, was applied here; `false` if that
-    /// took longer than `limit`. A read that waits at the log may not hear of the record for long, so
+    /// Waits until the record at `at`, which the log has, was applied here; `false` if that took
+    /// longer than `limit`. A read that waits at the log may not hear of the record for long, so
     /// after a short time the log is read without waiting, and again after twice that time.
-    pub fn wait_taken(&self, offset: u64, limit: Duration) -> bool {
+    pub fn wait_taken(&self, at: Pos, limit: Duration) -> bool {
+        let offset = offset_of(at);
         let end = self.clock.now() + limit;
         let mut nap = NUDGE;
         loop {
@@ -247,7 +210,7 @@
                 Appended::Taken(at) => {
                     doubt = true;
                     let left = end.saturating_sub(self.clock.now());
-                    if self.wait_taken((at >> 16) - 1, left) {
+                    if self.wait_taken(at, left) {
                         return self.view(&seen).ok_or_else(|| {
                             Fail::new(
                                 Kind::Conflict,
@@ -369,54 +332,6 @@
         self.moved.notify_all();
         taken
     }
-
-    fn append_all(&self) {
-        while !self.stopped.load(Ordering::Relaxed) {
-            let group = self.next_group();
-            if group.is_empty() {
-                continue;
-            }
-            let frame = encode_frame(&group);
-            let outcome = self.log.append(&self.stream, &frame);
-            for (i, pending) in group.iter().enumerate() {
-                pending.ticket.set(match &outcome {
-                    Ok(offset) => Appended::Taken(pos(*offset, i)),
-                    Err(AppendError::NotTaken(_)) => Appended::NotTaken,
-                    Err(AppendError::Unknown(_)) => Appended::Unknown,
-                });
-            }
-            let interval = *self.interval.lock().expect("interval");
-            self.clock.sleep(if outcome.is_ok() {
-                interval
-            } else {
-                interval.max(PAUSE)
-            });
-        }
-        for pending in self.queue.lock().expect("append queue").drain(..) {
-            pending.ticket.set(Appended::NotTaken);
-        }
-    }
-
-    fn next_group(&self) -> Vec<Pending> {
-        let queue = self.queue.lock().expect("append queue");
-        let (mut queue, _) = self
-            .queued
-            .wait_timeout_while(queue, READ_WAIT, |q| {
-                q.is_empty() && !self.stopped.load(Ordering::Relaxed)
-            })
-            .expect("append queue");
-        let mut size = 0;
-        let count = queue
-            .iter()
-            .take(FRAME_MAX)
-            .take_while(|p| {
-                let fits = size == 0 || size + p.bytes.len() <= FRAME_BYTES;
-                size += p.bytes.len();
-                fits
-            })
-            .count();
-        queue.drain(..count).collect()
-    }
 }
 
 fn unsettled(doubt: bool) -> Fail {
--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -1,5 +1,6 @@
 //! State that every host derives alike from a stream of the log.
 
+mod append;
 mod follower;
 mod frame;
 
@@ -22,6 +23,11 @@
     ((offset + 1) << 16) | index as u64
 }
 
+/// Offset of the log record that has the fold record at `at`.
+fn offset_of(at: Pos) -> u64 {
+    (at >> 16).saturating_sub(1)
+}
+
 /// A pure function of records in the order of the log.
 ///
 /// `apply` must not read a clock, a random number or anything else but its arguments: all hosts
