One way to read on and one deadline check for answers passed on; a doc comment where it belongs

Three loops dealt with a quiet or broken read each in its own copy, and the same deadline failure was made in three places. Told::at had lost its comment to Told::body. No behaviour is changed.

--- a/src/batch/message.rs
+++ b/src/batch/message.rs
@@ -266,7 +266,6 @@
         }
     }
 
-    /// Position at which it was so.
     /// The body of an item.
     ///
     /// # Errors
@@ -278,6 +277,7 @@
         }
     }
 
+    /// Position at which it was so.
     pub(super) fn at(&self) -> Pos {
         match self {
             Self::Job(brief) => brief.at,
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock::Time,
     engine::{End, EngineClient, Generate, Piece},
-    error::{Fail, Kind},
+    error::{Fail, Kind, Res},
     gate::{Slot, cancel_at},
     timeline::Happening,
     wire::Answer,
@@ -92,15 +92,9 @@
 
     fn pass_on(&mut self, piece: &Piece, slot: &Slot, attempt: &Try) -> Result<(), Stop> {
         let host = self.host;
-        let late = host.now() >= self.work.deadline;
-        let taken = if late {
-            Err(Fail::new(
-                Kind::ExpiredRunning,
-                "the deadline passed while a server was at work",
-            ))
-        } else {
-            self.sink.token(piece.pos, &piece.text)
-        };
+        let taken = self
+            .in_time()
+            .and_then(|()| self.sink.token(piece.pos, &piece.text));
         if let Err(fail) = taken {
             cancel_at(host, attempt.addr, &slot.id);
             return Err(Stop::Unwanted(fail));
@@ -144,11 +138,19 @@
         if fail.kind == Kind::ServerRefused {
             return Stop::Unwanted(fail);
         }
-        if host.now() < self.work.deadline || fail.kind == Kind::Unreachable {
-            return Stop::Failed(fail);
+        match self.in_time() {
+            Err(late) if fail.kind != Kind::Unreachable => Stop::Unwanted(late),
+            _ => Stop::Failed(fail),
+        }
+    }
+
+    /// Whether the deadline of the work that a server is at has not passed.
+    pub(super) fn in_time(&self) -> Res<()> {
+        if self.host.now() < self.work.deadline {
+            return Ok(());
         }
         let text = "the deadline passed while a server was at work";
-        Stop::Unwanted(Fail::new(Kind::ExpiredRunning, text))
+        Err(Fail::new(Kind::ExpiredRunning, text))
     }
 
     fn generate(&self, slot: &Slot) -> Generate {
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -5,7 +5,7 @@
     dispatch::{Run, Sink},
 };
 use crate::{
-    error::{Fail, Kind, Res},
+    error::{Fail, Kind},
     gate::Slot,
     pass::{Conn, Entered, Event, Events, Head, ReadError, Request, Sending, Verdict},
     timeline::Happening,
@@ -55,10 +55,8 @@
             .map_err(|e| self.lost(&format!("the request was cut: {e}"), entered.is_ended()))?;
         let mut silent = Duration::ZERO;
         let head = loop {
-            match conn.head(POLL) {
-                Ok(head) => break head,
-                Err(ReadError::Quiet) => self.keep_waiting(&mut silent, entered.is_ended())?,
-                Err(ReadError::Broken(text)) => return Err(self.lost(&text, entered.is_ended())),
+            if let Some(head) = self.arrived(conn.head(POLL), &mut silent, &entered)? {
+                break head;
             }
         };
         match (dialect.read)(&head, &request.id) {
@@ -93,21 +91,14 @@
         let mut events = Events::default();
         let mut silent = Duration::ZERO;
         loop {
-            let more = match conn.read(POLL, events.buffer()) {
-                Ok(more) => more,
-                Err(ReadError::Quiet) => {
-                    self.keep_waiting(&mut silent, entered.is_ended())?;
-                    continue;
-                }
-                Err(ReadError::Broken(text)) => return Err(self.lost(&text, entered.is_ended())),
+            let read = conn.read(POLL, events.buffer());
+            let Some(more) = self.arrived(read, &mut silent, entered)? else {
+                continue;
             };
-            silent = Duration::ZERO;
-            loop {
-                let event = match events.pop() {
-                    Ok(Some(event)) => event,
-                    Ok(None) => break,
-                    Err(_) => return Err(broken("an event of the answer is not valid")),
-                };
+            while let Some(event) = events
+                .pop()
+                .map_err(|_| broken("an event of the answer is not valid"))?
+            {
                 if attempt.first.is_none() {
                     attempt.first = Some(self.host.now());
                     let timeline = &self.host.timeline;
@@ -117,10 +108,8 @@
             }
             if !more {
                 if events.is_torn() {
-                    return Err(self.lost(
-                        "the answer ended in the middle of an event",
-                        entered.is_ended(),
-                    ));
+                    let text = "the answer ended in the middle of an event";
+                    return Err(self.lost(text, entered.is_ended()));
                 }
                 self.sink.begin(head).map_err(Stop::Unwanted)?;
                 return Ok(self.answer(slot));
@@ -160,12 +149,13 @@
         let mut body = Vec::new();
         let mut silent = Duration::ZERO;
         loop {
-            match conn.read(POLL, &mut body) {
-                Ok(false) => break,
-                Ok(true) if body.len() <= WHOLE_MAX => silent = Duration::ZERO,
-                Ok(true) => return Err(broken("the answer is too long")),
-                Err(ReadError::Quiet) => self.keep_waiting(&mut silent, entered.is_ended())?,
-                Err(ReadError::Broken(text)) => return Err(self.lost(&text, entered.is_ended())),
+            let read = conn.read(POLL, &mut body);
+            match self.arrived(read, &mut silent, entered)? {
+                Some(false) => break,
+                Some(true) if body.len() > WHOLE_MAX => {
+                    return Err(broken("the answer is too long"));
+                }
+                Some(true) | None => {}
             }
         }
         if head.status < 400 {
@@ -188,30 +178,31 @@
         }
     }
 
-    /// Looks whether the answer is still wanted, and whether the server was silent for too long.
-    fn keep_waiting(&mut self, silent: &mut Duration, is_ended: bool) -> Result<(), Stop> {
-        if is_ended {
-            return Err(self.lost("", true));
+    /// What a read gave; none if nothing arrived, the answer is still wanted and the server was not
+    /// silent for too long.
+    fn arrived<T>(
+        &mut self,
+        read: Result<T, ReadError>,
+        silent: &mut Duration,
+        entered: &Entered<'_>,
+    ) -> Result<Option<T>, Stop> {
+        match read {
+            Ok(read) => {
+                *silent = Duration::ZERO;
+                return Ok(Some(read));
+            }
+            Err(ReadError::Broken(text)) => return Err(self.lost(&text, entered.is_ended())),
+            Err(ReadError::Quiet) if entered.is_ended() => return Err(self.lost("", true)),
+            Err(ReadError::Quiet) => {}
         }
-        self.wanted().map_err(Stop::Unwanted)?;
+        self.in_time()
+            .and_then(|()| self.sink.check())
+            .map_err(Stop::Unwanted)?;
         *silent += POLL;
         if self.work.repeatable && *silent >= SILENCE {
             return Err(self.lost("the server is silent", false));
         }
-        Ok(())
-    }
-
-    fn wanted(&mut self) -> Res<()> {
-        self.in_time()?;
-        self.sink.check()
-    }
-
-    fn in_time(&self) -> Res<()> {
-        if self.host.now() < self.work.deadline {
-            return Ok(());
-        }
-        let text = "the deadline passed while a server was at work";
-        Err(Fail::new(Kind::ExpiredRunning, text))
+        Ok(None)
     }
 
     /// Why an attempt ended early: batch work gave way, or the server failed.
