Present values are worked out once for both kinds of metrics; an event's name is formatted once

The text and the collector's report gathered the same seven values apart; the age of the configuration is in both now.

--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -1,6 +1,6 @@
 //! Counters and histograms since the start, as text for a collector that fetches them.
 
-use crate::{error::Kind, timeline::Happening};
+use crate::error::Kind;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -55,6 +55,8 @@
     pub ready: Gauge,
     /// Streams of jobs that the host follows.
     pub streams: Gauge,
+    /// Milliseconds since the configuration was read to its head.
+    pub config_age: Gauge,
     /// Milliseconds since the oldest followed stream of jobs was read to its head.
     pub jobs_age: Gauge,
     /// Milliseconds since the holders of rate slots were read to their head.
@@ -111,6 +113,11 @@
             ("requests", "Requests under way", &gauges.requests),
             ("ready", "Whether the host is ready", &gauges.ready),
             ("job_streams", "Streams of jobs followed", &gauges.streams),
+            (
+                "config_age_ms",
+                "Age of the last reading",
+                &gauges.config_age,
+            ),
             ("jobs_age_ms", "Age of the last reading", &gauges.jobs_age),
             ("homes_age_ms", "Age of the last reading", &gauges.homes_age),
             ("log_lines_dropped", "Log lines dropped", &gauges.dropped),
@@ -120,10 +127,9 @@
         self
     }
 
-    /// Counts an event.
-    pub fn event(&self, what: Happening) {
-        let event = format!("{what:?}");
-        self.events.get_or_create(&EventLabel { event }).inc();
+    /// Counts an event of the kind `what`.
+    pub fn event(&self, what: String) {
+        self.events.get_or_create(&EventLabel { event: what }).inc();
     }
 
     /// Counts a request that was refused or failed.
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -63,47 +63,50 @@
 
 /// Answers a collector that fetches the metrics.
 fn tell(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
+    look(host);
+    let text = host.meters.text().map_err(io::Error::other)?;
+    exchange.send(200, CONTENT, text.as_bytes())
+}
+
+/// Brings the gauges up to date.
+fn look(host: &Host) {
     let gauges = host.meters.gauges();
     let (open, busy) = host.load();
     gauges.connections.set(open as i64);
     gauges.requests.set(busy as i64);
     gauges.ready.set(i64::from(host.is_ready()));
+    gauges
+        .config_age
+        .set(age(host, host.config.progress().fresh));
+    gauges.homes_age.set(age(host, host.homes.progress().fresh));
     let streams = host.batch.streams.followed();
+    let ages = streams.iter().map(|s| age(host, s.jobs.progress().fresh));
+    gauges.jobs_age.set(ages.max().unwrap_or(0));
     gauges.streams.set(streams.len() as i64);
-    let oldest = streams.iter().map(|s| age(host, s.jobs.progress().fresh));
-    gauges.jobs_age.set(oldest.max().unwrap_or(0) as i64);
-    let homes = age(host, host.homes.progress().fresh);
-    gauges.homes_age.set(homes as i64);
     gauges.dropped.set(logs::dropped() as i64);
-    let text = host.meters.text().map_err(io::Error::other)?;
-    exchange.send(200, CONTENT, text.as_bytes())
 }
 
 /// Milliseconds since `fresh`; more than any other age if there was no reading yet.
-fn age(host: &Host, fresh: Option<Duration>) -> u64 {
-    fresh.map_or(u64::MAX >> 1, |f| {
-        host.now().saturating_sub(f).as_millis() as u64
+fn age(host: &Host, fresh: Option<Duration>) -> i64 {
+    fresh.map_or(i64::MAX, |f| {
+        host.now().saturating_sub(f).as_millis() as i64
     })
 }
 
 fn report(host: &Arc<Host>) {
-    let (open, busy) = host.load();
-    gauge(host, "connections", open as u64);
-    gauge(host, "requests", busy as u64);
-    gauge(
-        host,
-        "config.age_ms",
-        age(host, host.config.progress().fresh),
-    );
-    let streams = host.batch.streams.followed();
-    let oldest = streams
-        .iter()
-        .map(|s| age(host, s.jobs.progress().fresh))
-        .max();
-    gauge(host, "jobs.age_ms", oldest.unwrap_or(0));
-    gauge(host, "jobs.streams", streams.len() as u64);
-    gauge(host, "homes.age_ms", age(host, host.homes.progress().fresh));
-    gauge(host, "ready", u64::from(host.is_ready()));
+    look(host);
+    let gauges = host.meters.gauges();
+    for (name, value) in [
+        ("connections", &gauges.connections),
+        ("requests", &gauges.requests),
+        ("config.age_ms", &gauges.config_age),
+        ("jobs.age_ms", &gauges.jobs_age),
+        ("jobs.streams", &gauges.streams),
+        ("homes.age_ms", &gauges.homes_age),
+        ("ready", &gauges.ready),
+    ] {
+        gauge(host, name, value.get().unsigned_abs());
+    }
     for figure in host.served.take() {
         match figure {
             Figure::Gauge(name, value) => gauge(host, &name, value),
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -138,8 +138,9 @@
         }
         ring.push_back(event);
         drop(ring);
-        self.meters.event(what);
-        let _ = self.metrics.count(&format!("events.{what:?}"), 1);
+        let kind = format!("{what:?}");
+        let _ = self.metrics.count(&format!("events.{kind}"), 1);
+        self.meters.event(kind);
         tracing::info!(event = ?what, host = %self.host, seq, id, at, note);
     }
 
