Tasks of hosts with an outside configuration are told by On::Outside; one look-up of a caller; ports in a file of their own

Dead since On::Own: the check in orders. declared ran on every host only to return at once. pass::caller looked the key up in its own copy of entry::auth's; its text for a key that is not known is now the same as there ("or was withdrawn").

--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -30,7 +30,7 @@
     Plugin {
         name: "declared",
         routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/declared", handle: serve }],
-        tasks: &[Task { name: "declared", every: EVERY, run: catch_up, on: On::All }],
+        tasks: &[Task { name: "declared", every: EVERY, run: catch_up, on: On::Outside }],
         stop: |_| {},
     }
 }
@@ -213,7 +213,7 @@
 
 /// Asks peers while the source cannot be read, until one has read it lately.
 fn catch_up(host: &Arc<Host>) {
-    if host.dialect.is_none() || host.is_stopping() {
+    if host.is_stopping() {
         return;
     }
     let fresh = host.config.progress().fresh;
--- a/src/entry/auth.rs
+++ b/src/entry/auth.rs
@@ -37,6 +37,14 @@
             "the host cannot tell which keys are valid; use another",
         ));
     }
+    caller(host, hash)
+}
+
+/// Whom the key with the hash `hash` stands for now.
+///
+/// # Errors
+/// `Unauthorized` if it is not valid.
+pub fn caller(host: &Host, hash: Name) -> Res<Caller> {
     let workspace = workspace_of(host, &hash)
         .ok_or_else(|| Fail::new(Kind::Unauthorized, "the key is unknown or was withdrawn"))?;
     Ok(Caller { workspace, hash })
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -1,10 +1,13 @@
 //! One host: its state, its ports and threads, and how they start and stop.
 
-use super::{Edges, Handler, On, Plugin, Port, RelayLog, Router, Task};
+use super::{
+    Edges, On, Plugin, Port, RelayLog, Task,
+    ports::{collector, listen},
+};
 use crate::{
     batch::Batch,
     clock::{Clock, SystemClock, Time},
-    config, control,
+    config,
     declared::Declared,
     entry::withdraw::Keys,
     error::{Fail, Kind, Res},
@@ -25,10 +28,10 @@
     timeline::{Happening, Timeline},
     wire::{Name, Peer},
 };
-use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
+use cadence::StatsdClient;
 use std::{
     io,
-    net::{SocketAddr, UdpSocket},
+    net::SocketAddr,
     sync::{
         Arc, Condvar, Mutex, OnceLock,
         atomic::{AtomicBool, Ordering},
@@ -158,17 +161,17 @@
         };
         let ready = side(settings.ready, Port::Ready)?;
         // Requests are served without it.
-        let collector = side(settings.metrics, Port::Metrics).unwrap_or_else(|error| {
+        let figures = side(settings.metrics, Port::Metrics).unwrap_or_else(|error| {
             tracing::error!(addr = ?settings.metrics, %error, "metrics_not_served");
             None
         });
-        let fetched = collector.as_ref().map(Server::addr);
+        let fetched = figures.as_ref().map(Server::addr);
         let me = Peer {
             name: start_name(&settings.name),
             addr: peer.addr(),
             domain: settings.domain.clone(),
         };
-        let metrics = Arc::new(metrics(settings.statsd)?);
+        let metrics = Arc::new(collector(settings.statsd)?);
         let meters = Arc::new(Meters::default());
         let host = Arc::new(Self {
             config: follow(&relay, &clock, &settings),
@@ -205,7 +208,7 @@
                 [caller, control, peer]
                     .into_iter()
                     .chain(ready)
-                    .chain(collector)
+                    .chain(figures)
                     .collect(),
             ),
             settings,
@@ -224,8 +227,12 @@
         }
         host.batch.start(&host);
         host.homes.start();
+        let other = match host.is_own() {
+            true => On::Outside,
+            false => On::Own,
+        };
         let tasks = inventory::iter::<Plugin>().flat_map(|p| p.tasks);
-        for task in tasks.filter(|t| t.on == On::All || host.is_own()) {
+        for task in tasks.filter(|t| t.on != other) {
             run_task(&host, task)?;
         }
         let note = format!("caller={} control={}", host.caller, host.control);
@@ -351,57 +358,6 @@
     format!("{name}.{:08x}", rand::random::<u32>()).into()
 }
 
-fn metrics(addr: Option<SocketAddr>) -> io::Result<StatsdClient> {
-    let Some(addr) = addr else {
-        return Ok(StatsdClient::from_sink("gooseberrytack", NopMetricSink));
-    };
-    let socket = UdpSocket::bind("0.0.0.0:0")?;
-    socket.set_nonblocking(true)?;
-    let sink = BufferedUdpMetricSink::from(addr, socket).map_err(io::Error::other)?;
-    Ok(StatsdClient::from_sink(
-        "gooseberrytack",
-        QueuingMetricSink::from(sink),
-    ))
-}
-
-fn listen(
-    addr: SocketAddr,
-    bounds: Bounds,
-    port: Port,
-    slot: &Arc<OnceLock<Arc<Host>>>,
-    face: Option<Handler>,
-) -> io::Result<Server> {
-    let router = Router::new(port);
-    let slot = slot.clone();
-    Server::start(addr, bounds, move |exchange| {
-        let _ = match (face, slot.get()) {
-            (Some(face), Some(host)) => face(host, exchange),
-            (_, host) => dispatch(host, port, &router, exchange),
-        };
-    })
-}
-
-fn dispatch(
-    host: Option<&Arc<Host>>,
-    port: Port,
-    router: &Router,
-    exchange: &mut Exchange,
-) -> io::Result<()> {
-    let Some(host) = host else {
-        return exchange.fail(&Fail::new(Kind::NotReady, "the host is starting"));
-    };
-    if port == Port::Control
-        && let Err(fail) = control::admit(&host.settings, &exchange.request)
-    {
-        return exchange.fail(&fail);
-    }
-    let head = &exchange.request.head;
-    match router.find(&head.method, &head.path) {
-        Ok(handle) => handle(host, exchange),
-        Err(fail) => exchange.fail(&fail),
-    }
-}
-
 fn run_task(host: &Arc<Host>, task: &'static Task) -> io::Result<()> {
     let host = host.clone();
     thread::Builder::new()
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -7,6 +7,7 @@
 mod call;
 mod edges;
 mod host;
+mod ports;
 mod relay;
 mod router;
 
@@ -71,6 +72,8 @@
     /// Those whose configuration comes through this product's own interface and its log, not from an
     /// outside system.
     Own,
+    /// Those whose configuration comes from an outside system.
+    Outside,
 }
 
 /// A role of the daemon.
--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -301,7 +301,7 @@
         let refused = match self.is_lost() {
             true => AppendError::NotTaken(LOST.into()),
             false => match self.append_direct(host, stream, bytes) {
-                Err(AppendError::NotTaken(text)) => AppendError::NotTaken(text),
+                Err(error @ AppendError::NotTaken(_)) => error,
                 result => return result,
             },
         };
--- a/src/order/issue.rs
+++ b/src/order/issue.rs
@@ -48,10 +48,6 @@
 
 /// Deals once with every server that this host is in charge of or was asked about.
 pub(super) fn run(host: &Arc<Host>) {
-    // Servers of an outside system are not this product's to give orders to.
-    if host.dialect.is_some() {
-        return;
-    }
     let now = host.now();
     if host.is_stopping() {
         return;
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -31,6 +31,7 @@
             path: "/peer/order/loaded",
             handle: issue::serve_loaded,
         }],
+        // Servers of an outside system are not this product's to give orders to.
         tasks: &[Task { name: "orders", every: EVERY, run: issue::run, on: On::Own }],
         stop: |_| {},
     }
--- a/src/pass/forward.rs
+++ b/src/pass/forward.rs
@@ -80,13 +80,7 @@
 pub fn caller(host: &Host, key: Option<&str>) -> Res<Caller> {
     check_connected(host)?;
     let key = key.ok_or_else(|| Fail::new(Kind::Unauthorized, "the request has no key"))?;
-    let hash = auth::hash_key(key);
-    let found = host
-        .config
-        .view(|s| s.key(&hash).map(|k| k.workspace.clone()));
-    let workspace =
-        found.ok_or_else(|| Fail::new(Kind::Unauthorized, "the key is unknown or withdrawn"))?;
-    Ok(Caller { workspace, hash })
+    auth::caller(host, auth::hash_key(key))
 }
 
 fn check_connected(host: &Host) -> Res<()> {
