--- a/src/bin/gooseberrytackd.rs
+++ b/src/bin/gooseberrytackd.rs
@@ -1,35 +1,26 @@
-//! The daemon: parses its arguments, checks its settings and runs one host until SIGTERM.
+//! The daemon: checks its settings and runs one host until SIGTERM.
 
-use argh::FromArgs;
 use eyre::{Result, WrapErr};
-use gooseberrytack::{kernel::Host, logs, settings::Settings};
+use gooseberrytack::{
+    daemon::{self, Args, Problems},
+    kernel::Host,
+    logs,
+};
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
     iterator::Signals,
 };
-use std::{fs, process::ExitCode};
-
-/// Serves online and batch inference: every process between callers and model engines.
-#[derive(FromArgs)]
-struct Args {
-    /// settings file (INI)
-    #[argh(positional)]
-    settings: String,
-    /// check the settings file and end
-    #[argh(switch)]
-    check: bool,
-}
+use std::process::ExitCode;
 
 fn main() -> Result<ExitCode> {
     let args: Args = argh::from_env();
-    let text = fs::read_to_string(&args.settings)
-        .wrap_err_with(|| format!("cannot read the settings file \"{}\"", args.settings))?;
-    let settings = match Settings::parse(&args.settings, &text) {
+    let settings = match daemon::read(&args.settings) {
         Ok(settings) => settings,
-        Err(problems) => {
-            problems.iter().for_each(|p| eprintln!("{p}"));
+        Err(error) if error.is::<Problems>() => {
+            eprintln!("{error}");
             return Ok(ExitCode::from(2));
         }
+        Err(error) => return Err(error),
     };
     if args.check {
         println!("{}: the settings are valid", args.settings);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod daemon;
 pub mod declared;
 pub mod engine;
 pub mod entry;
