A server that says in an answer that it leaves gets nothing new

Cause: a host learned of a leaving server from the configuration alone. One that cannot read it, or whose server never writes an entry, went on sending. Ruled out: marking the server in the configuration half itself; that is numbered by its source, and a host's own belief must not look like a newer reading. Conclusion: the belief is keyed by server and start, checked right before an attempt is sent and by the gate, and ends with a later start or the entry's end.

--- a/examples/capacity/config.rs
+++ b/examples/capacity/config.rs
@@ -29,6 +29,7 @@
         slots: 8,
         fenced: true,
         leaving: false,
+        start: 0,
     }
 }
 
--- a/src/config/fold.rs
+++ b/src/config/fold.rs
@@ -272,6 +272,7 @@
                 slots: self.value_of(name, Setting::Slots),
                 fenced: *fenced,
                 leaving: *leaving,
+                start: 0,
             }),
             _ => None,
         };
--- a/src/config/types.rs
+++ b/src/config/types.rs
@@ -62,6 +62,9 @@
     pub fenced: bool,
     /// Whether it is about to leave.
     pub leaving: bool,
+    /// Number of its present start, which rises from start to start; zero where none is told.
+    #[serde(default)]
+    pub start: u64,
 }
 
 /// A route to a plain service.
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -117,3 +117,17 @@
     type Reply = Yielded;
     const PATH: &'static str = "/peer/gate/yield";
 }
+
+/// Tells the host in charge of a server that the server said that it leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Leaves {
+    /// Backend server.
+    pub server: Name,
+    /// Its start that leaves.
+    pub start: u64,
+}
+
+impl Call for Leaves {
+    type Reply = ();
+    const PATH: &'static str = "/peer/gate/leaves";
+}
--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -98,7 +98,8 @@
             return Admission::Moved(owner);
         }
         let server = host.config.view(|s| s.server(&call.server).cloned());
-        let Some(server) = server.filter(|s| !s.leaving) else {
+        let departures = &host.routes.departures;
+        let Some(server) = server.filter(|s| !s.leaving && !departures.has(s)) else {
             return Admission::Closed;
         };
         let Ask { model, adapter, .. } = &call.ask;
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -8,9 +8,10 @@
 mod fleet;
 mod grant;
 mod hold;
+mod leave;
 mod queue;
 
-pub use call::{Acquire, Admission, Done, Kept, Noted, Release, Renew, Yield, Yielded};
+pub use call::{Acquire, Admission, Done, Kept, Leaves, Noted, Release, Renew, Yield, Yielded};
 pub use fleet::{Served, Tags};
 pub use grant::{Queues, WAIT_MAX, cancel_at};
 pub use hold::{Held, Reply, Slot};
@@ -36,6 +37,7 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/renew", handle: renew },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/served", handle: served },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/yield", handle: give_way },
+            Route { port: Port::Peer, method: "POST", path: "/peer/gate/leaves", handle: leaves },
         ],
         tasks: &[
             Task { name: "gate-renew", every: RENEW_EVERY, run: |h| h.gates.held.renew(h), on: On::All },
@@ -103,3 +105,10 @@
         Ok(fleet::add(host, &call))
     })
 }
+
+fn leaves(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
+    serve_call(host, exchange, |host, call: Leaves| {
+        leave::told(host, &call);
+        Ok(())
+    })
+}
--- a/src/pass/mod.rs
+++ b/src/pass/mod.rs
@@ -93,4 +93,6 @@
     pub fields: fn(&Sending<'_>) -> Vec<(&'static str, String)>,
     /// Reads the head of an answer to the request with the id given.
     pub read: fn(&Head, &str) -> Verdict,
+    /// Whether the head of an answer says that the server leaves.
+    pub leaves: fn(&Head) -> bool,
 }
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -27,6 +27,8 @@
 /// An attempt under way.
 pub(super) struct Try {
     pub(super) addr: SocketAddr,
+    /// Start of the server that the work is sent to.
+    pub(super) start: u64,
     pub(super) began: Time,
     pub(super) first: Option<Time>,
 }
@@ -39,12 +41,17 @@
             self.sink.admit().map_err(Stop::Unwanted)?;
             self.admitted = true;
         }
-        let addr = host
+        let server = host
             .config
-            .view(|s| s.server(&slot.server).map(|s| s.addr))
+            .view(|s| s.server(&slot.server).cloned())
             .ok_or_else(|| Stop::Failed(gone()))?;
+        if host.routes.departures.has(&server) {
+            let text = "the server leaves and takes no new work";
+            return Err(Stop::Failed(Fail::new(Kind::Unreachable, text)));
+        }
         let mut attempt = Try {
-            addr,
+            addr: server.addr,
+            start: server.start,
             began: host.now(),
             first: None,
         };
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -59,7 +59,11 @@
                 break head;
             }
         };
-        match (dialect.read)(&head, &request.id) {
+        let verdict = (dialect.read)(&head, &request.id);
+        if verdict != Verdict::Foreign && (dialect.leaves)(&head) {
+            host.note_leaving(&slot.server, attempt.start, &slot.id);
+        }
+        match verdict {
             Verdict::Ours => {}
             Verdict::NotRun => {
                 self.sent -= 1;
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -3,6 +3,7 @@
 use super::{
     choose::{Candidate, order, subset},
     health::{Health, Outcome, Use},
+    leaving::Departures,
 };
 use crate::{
     clock::Time,
@@ -34,6 +35,8 @@
     /// Sorted by model.
     reach: Mutex<Vec<Reach>>,
     budget: Mutex<Budget>,
+    /// Servers that said that they leave.
+    pub departures: Departures,
     /// Requests of this host that wait for a slot.
     pub waiting: AtomicUsize,
 }
@@ -67,6 +70,7 @@
             seen: Mutex::default(),
             reach: Mutex::default(),
             budget: Mutex::new(Budget::new(percent)),
+            departures: Departures::default(),
             waiting: AtomicUsize::new(0),
         }
     }
@@ -143,12 +147,14 @@
             let text = format!("no server has model \"{}\" loaded", work.model);
             return Err(Fail::new(Kind::Overloaded, text));
         }
-        let fresh = servers.iter().any(|s| !tried.contains(&s.name));
+        let is_fresh = |s: &Server| !tried.contains(&s.name) && !self.departures.has(s);
+        let fresh = servers.iter().any(is_fresh);
         let now = host.now();
         let seen = self.lock();
         let mut all: Vec<Candidate> = servers
             .iter()
             .filter(|s| !fresh || !tried.contains(&s.name))
+            .filter(|s| !self.departures.has(s))
             .map(|s| candidate(&seen, s, s.domain == host.me.domain, now))
             .collect();
         drop(seen);
@@ -178,6 +184,8 @@
             reach.busy = true;
         }
         drop(known);
+        host.config
+            .view(|s| self.departures.confirm(&s.servers, host.now()));
         let reach = choose_reach(host, model);
         let servers = reach.servers.clone();
         let mut known = self.reach.lock().expect("reach");
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -67,6 +67,8 @@
     SetAside,
     /// A server was taken back.
     TakenBack,
+    /// A server said that it leaves.
+    ServerLeaves,
     /// An order was sent to a server.
     Ordered,
     /// A snapshot was written.
--- a/standin/src/harness.rs
+++ b/standin/src/harness.rs
@@ -131,6 +131,7 @@
                 slots: c.slots,
                 fenced: c.fenced,
                 leaving: false,
+                start: 0,
             })
             .collect::<Vec<_>>();
         let change = seed_change(&servers, &self.plan.workspaces);
