Idle connections of the server hold no thread

Cause: each open connection had a thread of its own. Ruled out: closing idle connections sooner: calls between hosts would each pay for a new one. The polling crate: its registration is unsafe code. Change: one thread of a port waits for its listener and all idle connections (mio); a request under way has a thread of a pool that grows at once. Before: tests/http_idle.rs has 300 threads for 300 connections. After: passes (at most 16); http_bounds, http_fuzz, online_stops pass. Conclusion: threads follow requests under way, not connections.

--- a/src/http/input.rs
+++ b/src/http/input.rs
@@ -40,6 +40,11 @@
         Ok(self.fill()? > 0)
     }
 
+    /// Whether nothing beyond the last request was read.
+    pub(super) fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     /// Reads a request whose first byte is there.
     pub(super) fn request(&mut self, bounds: &Bounds) -> Result<Request, Fail> {
         let end = Instant::now() + bounds.read;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,7 +1,7 @@
 //! HTTP server and client.
 //!
-//! The server gives each connection one thread, counts connections against a bound and never lets
-//! one wait behind another. Heads are parsed by `httparse`, chunks by `chunked_transfer`. The
+//! The server gives each request under way one thread, has one thread of a port wait for all idle
+//! connections, counts connections against a bound and never lets one wait behind another. Heads are parsed by `httparse`, chunks by `chunked_transfer`. The
 //! client is `ureq` with small buffers.
 
 mod client;
@@ -9,9 +9,11 @@
 mod exchange;
 mod filter;
 mod input;
+mod pool;
 mod request;
 mod resolver;
 mod server;
+mod watch;
 
 pub use client::{Client, Reply, SendError, Stream, Timeouts};
 pub use exchange::Exchange;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,14 +1,17 @@
-//! The server: a bounded number of connections, one thread each.
+//! The server: a bounded number of connections. One that waits for a request holds no thread; each
+//! request under way has one.
 
 use super::{
     conns::{Conns, Room},
     exchange::{Exchange, error_json},
     input::Input,
+    pool::Pool,
+    watch::{Found, Idle, Poller, Watch},
 };
 use crate::error::{Fail, Kind};
 use socket2::{Domain, Socket, Type};
 use std::{
-    io::{self, Read, Write},
+    io::{self, ErrorKind, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     panic::{AssertUnwindSafe, catch_unwind},
     sync::{
@@ -21,8 +24,8 @@
 
 /// Connections that the kernel keeps until they are accepted.
 const BACKLOG: i32 = 4096;
-/// Stack of a connection's thread in bytes.
-const STACK: usize = 512 * 1024;
+/// Longest time between two looks at whether the server was closed.
+const LOOK: Duration = Duration::from_secs(1);
 /// Bytes of a refused request that are read at once.
 const READ_SIZE: usize = 8 * 1024;
 /// How long an unread rest of a refused request is taken off the socket.
@@ -105,10 +108,16 @@
             closed: AtomicBool::new(false),
             deaf: AtomicBool::new(false),
         });
-        let accept = shared.clone();
+        let (watch, poller) = Watch::new(&listener)?;
+        let service = Arc::new(Service {
+            shared: shared.clone(),
+            watch,
+            pool: Pool::default(),
+            handler,
+        });
         thread::Builder::new()
-            .name(format!("accept-{}", addr.port()))
-            .spawn(move || accept_all(listener, &accept, &Arc::new(handler)))?;
+            .name(format!("port-{}", addr.port()))
+            .spawn(move || run(listener, poller, &service))?;
         Ok(Self { addr, shared })
     }
 
@@ -165,7 +174,7 @@
 
     fn close_listener(&self) {
         if !self.shared.closed.swap(true, Ordering::AcqRel) {
-            // The accepting thread wakes for this connection and drops the listener.
+            // The polling thread wakes for this connection and drops the listener.
             let _ = TcpStream::connect_timeout(&self.addr, Duration::from_secs(1));
         }
     }
@@ -185,53 +194,169 @@
     Ok(socket.into())
 }
 
-fn accept_all<H>(listener: TcpListener, shared: &Arc<Shared>, handler: &Arc<H>)
+/// Accepts connections and hands those on which a request arrives to a thread, until the server is
+/// closed and every connection has ended.
+fn run<H>(listener: TcpListener, mut poller: Poller, server: &Arc<Service<H>>)
 where
     H: Fn(&mut Exchange) + Send + Sync + 'static,
 {
-    while !shared.closed.load(Ordering::Acquire) {
-        match listener.accept() {
-            Ok((stream, _)) => take_in(stream, shared, handler),
-            Err(_) => thread::sleep(STOP_LOOK),
+    let shared = &server.shared;
+    let mut listener = Some(listener);
+    while listener.is_some() || shared.conns.open() > 0 {
+        let limit = match listener {
+            Some(_) => LOOK,
+            None => STOP_LOOK,
+        };
+        let found = poller.poll(&server.watch, limit).unwrap_or_else(|error| {
+            tracing::error!(%error, "connections_not_polled");
+            thread::sleep(STOP_LOOK);
+            Found::default()
+        });
+        found
+            .late
+            .iter()
+            .for_each(|conn| shared.conns.remove(conn.id));
+        found.ready.into_iter().for_each(|conn| server.serve(conn));
+        if let Some(open) = &listener {
+            // Connections that the kernel established already would be reset with the listener.
+            let is_closed = shared.closed.load(Ordering::Acquire);
+            if found.accept || is_closed {
+                accept_all(open, server);
+            }
+            if is_closed {
+                listener = None;
+                shared.deaf.store(true, Ordering::Release);
+            }
         }
     }
-    // Connections that the kernel established already would be reset with the listener.
-    if listener.set_nonblocking(true).is_ok() {
-        while let Ok((stream, _)) = listener.accept() {
-            take_in(stream, shared, handler);
+}
+
+fn accept_all<H>(listener: &TcpListener, server: &Arc<Service<H>>)
+where
+    H: Fn(&mut Exchange) + Send + Sync + 'static,
+{
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => server.take_in(stream),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+            Err(error) => {
+                tracing::warn!(%error, "connection_not_accepted");
+                return thread::sleep(STOP_LOOK);
+            }
         }
     }
-    drop(listener);
-    shared.deaf.store(true, Ordering::Release);
 }
 
-fn take_in<H>(stream: TcpStream, shared: &Arc<Shared>, handler: &Arc<H>)
+/// A server at work.
+struct Service<H> {
+    shared: Arc<Shared>,
+    watch: Watch,
+    pool: Pool,
+    handler: H,
+}
+
+impl<H> Service<H>
 where
     H: Fn(&mut Exchange) + Send + Sync + 'static,
 {
-    let stream = Arc::new(stream);
-    let deaf = Arc::default();
-    let room = shared.conns.admit(&stream, &deaf);
-    let (Room::Serve(id) | Room::Refuse(id)) = room else {
-        return;
-    };
-    let (all, handler) = (shared.clone(), handler.clone());
-    let run = move || {
-        let _forget = Forget { shared: &all, id };
-        if room == Room::Serve(id) {
-            serve(&stream, &deaf, &all, id, &*handler);
-        } else {
-            let text = "too many connections; try another host";
-            refuse(&stream, &Fail::new(Kind::Overloaded, text));
+    fn take_in(self: &Arc<Self>, stream: TcpStream) {
+        let (stream, deaf) = (Arc::new(stream), Arc::default());
+        let conns = &self.shared.conns;
+        match conns.admit(&stream, &deaf) {
+            Room::Drop => {}
+            Room::Serve(id) => {
+                let bounds = &self.shared.bounds;
+                let _ = stream.set_nonblocking(false);
+                let _ = stream.set_nodelay(true);
+                let _ = stream.set_write_timeout(Some(bounds.write));
+                self.park(Idle { id, stream, deaf }, bounds.read.min(bounds.idle));
+            }
+            Room::Refuse(id) => {
+                let shared = self.shared.clone();
+                let refused = self.pool.run(move || {
+                    let _forget = Forget {
+                        shared: &shared,
+                        id,
+                    };
+                    let text = "too many connections; try another host";
+                    let _ = stream.set_nonblocking(false);
+                    refuse(&stream, &Fail::new(Kind::Overloaded, text));
+                });
+                if refused.is_err() {
+                    conns.remove(id);
+                }
+            }
+        }
+    }
+
+    /// Has `conn` wait for its next request.
+    fn park(&self, conn: Idle, limit: Duration) {
+        let id = conn.id;
+        if let Err(error) = self.watch.park(conn, limit) {
+            tracing::warn!(id, %error, "connection_not_watched");
+            self.shared.conns.remove(id);
         }
-    };
-    let thread = thread::Builder::new().name("conn".into()).stack_size(STACK);
-    if thread.spawn(run).is_err() {
-        shared.conns.remove(id);
+    }
+
+    /// Serves a connection on which something arrived, on a thread of its own.
+    fn serve(self: &Arc<Self>, conn: Idle) {
+        let (service, id) = (self.clone(), conn.id);
+        let started = self.pool.run(move || service.requests(conn));
+        if let Err(error) = started {
+            tracing::warn!(id, %error, "connection_not_served");
+            self.shared.conns.remove(id);
+        }
+    }
+
+    /// Serves what arrived on a connection, and has it wait for more if it may go on.
+    fn requests(&self, conn: Idle) {
+        let forget = Forget {
+            shared: &self.shared,
+            id: conn.id,
+        };
+        if self.serve_all(&conn) {
+            std::mem::forget(forget);
+            self.park(conn, self.shared.bounds.idle);
+        }
+    }
+
+    /// Serves requests, one after the other, until none has arrived; whether the connection may carry
+    /// more.
+    fn serve_all(&self, conn: &Idle) -> bool {
+        let Idle { id, stream, deaf } = conn;
+        let bounds = &self.shared.bounds;
+        let mut input = Input::new(stream);
+        while matches!(input.wait(bounds.read), Ok(true)) {
+            self.shared.conns.set_busy(*id, true);
+            let request = match input.request(bounds) {
+                Ok(request) => request,
+                // The rest could not arrive any more.
+                Err(_) if deaf.load(Ordering::Acquire) => {
+                    let text = "the connection ends; send the request again";
+                    refuse(stream, &Fail::new(Kind::Stopping, text));
+                    return false;
+                }
+                Err(fail) => {
+                    refuse(stream, &fail);
+                    return false;
+                }
+            };
+            let stopping = self.shared.stopping.clone();
+            let mut exchange = Exchange::new(request, stream.clone(), deaf.clone(), stopping);
+            answer(&mut exchange, &self.handler);
+            if !exchange.may_continue() {
+                return false;
+            }
+            self.shared.conns.set_busy(*id, false);
+            if input.is_empty() {
+                return true;
+            }
+        }
+        false
     }
 }
 
-/// Takes a connection off the list when its thread ends.
+/// Takes a connection off the list when its thread ends with it.
 struct Forget<'a> {
     shared: &'a Shared,
     id: u64,
@@ -243,42 +368,6 @@
     }
 }
 
-/// Serves the requests of one connection, one after the other.
-fn serve<H>(stream: &Arc<TcpStream>, deaf: &Arc<AtomicBool>, shared: &Shared, id: u64, handler: &H)
-where
-    H: Fn(&mut Exchange),
-{
-    let bounds = &shared.bounds;
-    let _ = stream.set_nodelay(true);
-    let _ = stream.set_write_timeout(Some(bounds.write));
-    let mut input = Input::new(stream);
-    let mut wait = bounds.read.min(bounds.idle);
-    while matches!(input.wait(wait), Ok(true)) {
-        shared.conns.set_busy(id, true);
-        let request = match input.request(bounds) {
-            Ok(request) => request,
-            // The rest could not arrive any more.
-            Err(_) if deaf.load(Ordering::Acquire) => {
-                let text = "the connection ends; send the request again";
-                return refuse(stream, &Fail::new(Kind::Stopping, text));
-            }
-            Err(fail) => return refuse(stream, &fail),
-        };
-        let mut exchange = Exchange::new(
-            request,
-            stream.clone(),
-            deaf.clone(),
-            shared.stopping.clone(),
-        );
-        answer(&mut exchange, handler);
-        if !exchange.may_continue() {
-            return;
-        }
-        shared.conns.set_busy(id, false);
-        wait = bounds.idle;
-    }
-}
-
 /// Runs the handler; one that panics or sends nothing is answered for.
 fn answer<H>(exchange: &mut Exchange, handler: &H)
 where
