Batch jobs over the partitions that the platform offers; quotas and waits at the reader

Cause: with one stream for 63 hosts each may append every 315 ms, but a submission gave up after 150 ms without an answer (twice an append), so that 118 of 145 jobs were refused as 'log takes no records' by a log that was well. Change: job_streams and appends_per_s come from the process's settings; one stream where it can take all appends (one_stream_appends_per_s), else all partitions; a small job is one append instead of two; patience counts the wait for the append before; the limit of waiting tokens is checked by the reader, an equal part for each stream; a read that waits does so at the reader (it asked again every 50 ms), which also judges its own staleness. Ruled out: streams by workspace: one large workspace would be three hosts' load.

--- a/src/batch/accept.rs
+++ b/src/batch/accept.rs
@@ -1,6 +1,6 @@
 //! Puts a job into the log.
 
-use super::{message::NewJob, stream::Stream};
+use super::{keep, message::NewJob, stream::Stream};
 use crate::{
     clock::Clock,
     error::{Fail, Kind, Res},
@@ -116,12 +116,27 @@
     // A job of requests to be passed on is sent again, to another host, as soon as it is refused.
     let is_passed = asks.iter().any(|a| a.request.is_some());
     let wait = match is_passed {
-        true => host.settings.wait.min(host.relay.patience()),
+        // A record may wait for the append before its own.
+        true => (host.relay.patience() + keep::append_interval(host) * 2).min(host.settings.wait),
         false => host.settings.wait,
     };
     let left = |host: &Host| end.saturating_sub(host.now());
     let mut fewest = recs.len();
     let mut moved = host.now();
+    let settle = |limit| {
+        stream
+            .jobs
+            .settle(&commit, limit, |s| look_up(s, id, digest))
+    };
+    if let [piece] = &recs[..] {
+        // In one append; without the piece the commit has no effect.
+        stream.jobs.submit(piece);
+        match settle(left(host).min(wait)) {
+            Err(fail) if fail.kind == Kind::Conflict => {}
+            Err(fail) if fail.kind == Kind::LogDown => return Err(not_taken()),
+            settled => return answer(host, new, settled),
+        }
+    }
     loop {
         let missing = match look_round(stream, id, digest, &upload, recs.len()) {
             Round::Found(result) => return result,
@@ -135,15 +150,20 @@
         let limit = left(host).min(patience);
         put_pieces(host, stream, &recs, &missing, limit);
         if limit.is_zero() || host.is_dead() {
-            return Err(Fail::new(
-                Kind::LogDown,
-                "the log does not take the items; nothing was kept",
-            ));
+            return Err(not_taken());
         }
     }
-    let settled = stream
-        .jobs
-        .settle(&commit, left(host).min(wait), |s| look_up(s, id, digest));
+    answer(host, new, settle(left(host).min(wait)))
+}
+
+fn not_taken() -> Fail {
+    let text = "the log does not take the items; nothing was kept";
+    Fail::new(Kind::LogDown, text)
+}
+
+/// What the caller is told of a commit.
+fn answer(host: &Host, new: &NewJob, settled: Res<Res<Arc<Job>>>) -> Res<Arc<Job>> {
+    let id = &new.id;
     match settled {
         Ok(result) => {
             if result.is_ok() {
--- a/src/batch/api.rs
+++ b/src/batch/api.rs
@@ -82,6 +82,7 @@
     let id = given_id(&caller, &exchange.request.head)?;
     let body = &exchange.request.body;
     let order = Order::Create(NewJob {
+        quota: None,
         id: id.clone(),
         workspace: caller.workspace,
         asks: parse_items(body)?,
--- a/src/batch/forward.rs
+++ b/src/batch/forward.rs
@@ -119,11 +119,10 @@
         let work = match self {
             Self::Create(_) => deadline + wait,
             Self::Cancel(_) | Self::Delete(_) => wait + serve::CATCH_UP,
-            Self::Show(_)
-            | Self::Items { .. }
-            | Self::Finished { .. }
-            | Self::Body { .. }
-            | Self::List(_) => 2 * serve::CATCH_UP,
+            Self::Finished { wait, .. } => *wait + 2 * serve::CATCH_UP,
+            Self::Show(_) | Self::Items { .. } | Self::Body { .. } | Self::List(_) => {
+                2 * serve::CATCH_UP
+            }
         };
         work + TRAVEL
     }
--- a/src/batch/keep.rs
+++ b/src/batch/keep.rs
@@ -45,7 +45,8 @@
     seen: Time,
 }
 
-fn append_interval(host: &Host) -> Duration {
+/// Least time between two appends of this host to a stream.
+pub(super) fn append_interval(host: &Host) -> Duration {
     let hosts = host.members.ring().peers().len();
     let writers = host.batch.streams.writers(hosts);
     lease::append_interval(writers, host.settings.appends, host.settings.interval)
--- a/src/batch/message.rs
+++ b/src/batch/message.rs
@@ -9,7 +9,7 @@
 };
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 /// Asks a host for something in a stream that it follows.
 #[derive(Debug, Serialize, Deserialize)]
@@ -51,6 +51,8 @@
         which: Which,
         /// First position.
         from: usize,
+        /// Longest wait for the first one.
+        wait: Duration,
     },
     /// Body of an item that has not ended.
     Body {
@@ -76,6 +78,19 @@
     pub asks: Vec<Arc<Ask>>,
     /// Bytes that the caller sent.
     pub size: usize,
+    /// What the workspace may have waiting; none for no limit.
+    pub quota: Option<Quota>,
+}
+
+/// Most tokens of a workspace that may wait on a route.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quota {
+    /// Host name of the route.
+    pub host: Name,
+    /// Path prefix of the route.
+    pub prefix: Name,
+    /// Most tokens, over all streams.
+    pub tokens: u64,
 }
 
 /// A job, for its workspace or for an operator.
--- a/src/batch/passed.rs
+++ b/src/batch/passed.rs
@@ -2,11 +2,11 @@
 
 use super::{
     forward::ask,
-    message::{NewJob, Order, Run, Told, Which},
-    stream::Slot,
+    message::{NewJob, Order, Quota, Run, Told, Which},
+    serve::{self, find},
+    stream::Stream,
 };
 use crate::{
-    clock::Clock,
     config::PassRoute,
     error::{Fail, Kind, Res},
     job::{Ask, ItemState, Job, State},
@@ -17,8 +17,6 @@
 use serde_bytes::ByteBuf;
 use std::{sync::Arc, time::Duration};
 
-/// Pause between two looks at whether an item finished, where the job's stream is not followed here.
-const PAUSE: Duration = Duration::from_millis(50);
 /// Age of the last reading of the log from which a host does not say that there are no more results.
 /// Readers may rely on results that another host showed a second ago (`settle_ms`).
 const STALE: Duration = Duration::from_millis(800);
@@ -30,28 +28,17 @@
 /// # Errors
 /// `RateLimited` if it does not fit in the workspace's limit; `Unsettled` if it may be accepted
 /// later; any other failure means that no part of it ever runs.
-pub fn submit(host: &Host, route: &PassRoute, job: NewJob) -> Res<()> {
+pub fn submit(host: &Host, route: &PassRoute, mut job: NewJob) -> Res<()> {
     if host.relay.is_cut_off(host) {
         let text = "neither the log nor another host can be reached; nothing was kept";
         return Err(Fail::new(Kind::LogDown, text).retry_after(ELSEWHERE));
     }
     let slot = host.batch.streams.slot_of(&job.id);
-    if route.queued > 0
-        && let Some(stream) = host.batch.streams.enter(slot)
-    {
-        let new: u64 = job.asks.iter().map(|a| u64::from(a.tokens)).sum();
-        let waiting = stream.jobs.view(|s| match s.job(&job.id) {
-            Some(_) => None,
-            None => Some(waiting_tokens(s, &job.workspace, route)),
-        });
-        if let Some(waiting) = waiting.filter(|w| w + new > route.queued) {
-            let text = format!(
-                "{waiting} tokens of the workspace wait; {new} more are over the limit of {}",
-                route.queued
-            );
-            return Err(Fail::new(Kind::RateLimited, text).retry_after(COME_BACK));
-        }
-    }
+    job.quota = (route.queued > 0).then(|| Quota {
+        host: route.host.clone(),
+        prefix: route.prefix.clone(),
+        tokens: route.queued,
+    });
     let told = ask(host, slot, &Order::Create(job)).and_then(Told::job);
     told.map(|_| ()).map_err(|fail| match fail.kind {
         Kind::LogDown => fail.retry_after(ELSEWHERE),
@@ -59,26 +46,50 @@
     })
 }
 
+/// Refuses a new job that does not fit in the limit of its workspace. Each stream has an equal part
+/// of the limit, so that no message is needed for the sum to hold.
+///
+/// # Errors
+/// `RateLimited`.
+pub(super) fn check_quota(host: &Host, stream: &Stream, job: &NewJob) -> Res<()> {
+    let Some(quota) = &job.quota else {
+        return Ok(());
+    };
+    let limit = quota.tokens / host.batch.streams.slots().len() as u64;
+    let new: u64 = job.asks.iter().map(|a| u64::from(a.tokens)).sum();
+    let waiting = stream.jobs.view(|s| match s.job(&job.id) {
+        Some(_) => None,
+        None => Some(waiting_tokens(s, &job.workspace, quota)),
+    });
+    if let Some(waiting) = waiting.filter(|w| w + new > limit) {
+        let text = format!(
+            "{waiting} tokens of the workspace wait; {new} more are over the limit of {limit}"
+        );
+        return Err(Fail::new(Kind::RateLimited, text).retry_after(COME_BACK));
+    }
+    Ok(())
+}
+
 /// Tokens of the open items of `workspace` on `route`.
-fn waiting_tokens(state: &State, workspace: &str, route: &PassRoute) -> u64 {
+fn waiting_tokens(state: &State, workspace: &str, quota: &Quota) -> u64 {
     let jobs = state.jobs.iter();
     let jobs = jobs.filter(|j| *j.workspace == *workspace && j.counts.open > 0);
-    jobs.map(|j| open_tokens(j, route)).sum()
+    jobs.map(|j| open_tokens(j, quota)).sum()
 }
 
-fn open_tokens(job: &Job, route: &PassRoute) -> u64 {
+fn open_tokens(job: &Job, quota: &Quota) -> u64 {
     let open = job.items(0).filter_map(|i| match &i.state {
         ItemState::Open { ask, .. } => Some(ask),
         ItemState::Ended(_) => None,
     });
-    let on_route = open.filter(|a| is_on(a, route));
+    let on_route = open.filter(|a| is_on(a, quota));
     on_route.map(|a| u64::from(a.tokens)).sum()
 }
 
-fn is_on(ask: &Ask, route: &PassRoute) -> bool {
+fn is_on(ask: &Ask, quota: &Quota) -> bool {
     ask.request
         .as_ref()
-        .is_some_and(|r| r.host == route.host && r.target.starts_with(&*route.prefix))
+        .is_some_and(|r| r.host == quota.host && r.target.starts_with(&*quota.prefix))
 }
 
 /// Items of a job in the order in which they finished, from the position `from` on; waits up to
@@ -88,49 +99,52 @@
 /// `NotFound` if there is certainly no such job.
 pub fn finished(host: &Host, which: &Which, from: usize, wait: Duration) -> Res<Run> {
     let slot = host.batch.streams.slot_of(&which.id);
+    let which = which.clone();
+    let order = Order::Finished { which, from, wait };
+    let result = ask(host, slot, &order).and_then(Told::items);
+    result.map_err(|fail| match fail.kind {
+        Kind::NotReady => fail.retry_after(ELSEWHERE),
+        _ => fail,
+    })
+}
+
+/// The same from a stream that this host follows.
+pub(super) fn finished_here(
+    host: &Host,
+    stream: &Stream,
+    which: &Which,
+    from: usize,
+    wait: Duration,
+) -> Res<Run> {
     let end = host.now() + wait;
     loop {
-        let order = Order::Finished {
-            which: which.clone(),
-            from,
-        };
-        catch_up(host, slot);
-        let run = ask(host, slot, &order)?.items()?;
+        catch_up(host, stream);
+        let next = stream.jobs.progress().next;
+        let (job, at) = find(host, stream, which)?;
+        let run = serve::finished(&job, at, from);
         let left = end.saturating_sub(host.now());
         let is_over = from >= run.total || left.is_zero() || host.is_stopping();
-        if run.lines.is_empty() && from < run.total && is_stale(host, slot) {
+        if run.lines.is_empty() && from < run.total && is_stale(host, stream) {
             let text = "this host is behind the log; whether there are more results is not known";
-            return Err(Fail::new(Kind::NotReady, text).retry_after(ELSEWHERE));
+            return Err(Fail::new(Kind::NotReady, text));
         }
         if !run.lines.is_empty() || is_over {
             return Ok(run);
         }
-        match host.batch.streams.enter(slot) {
-            Some(stream) => {
-                let next = stream.jobs.progress().next;
-                stream.jobs.wait_moved(next, left);
-            }
-            None => host.clock.sleep(PAUSE.min(left)),
-        }
+        stream.jobs.wait_moved(next, left);
     }
 }
 
 /// Reads the log without waiting where this host is behind it and can reach it.
-fn catch_up(host: &Host, slot: &Slot) {
-    if !host.relay.is_lost()
-        && is_stale(host, slot)
-        && let Some(stream) = host.batch.streams.enter(slot)
-    {
+fn catch_up(host: &Host, stream: &Stream) {
+    if !host.relay.is_lost() && is_stale(host, stream) {
         stream.jobs.read_now();
     }
 }
 
-/// Whether this host follows the stream and has not read it to its head for long: another host may
-/// have shown results that this one does not know.
-fn is_stale(host: &Host, slot: &Slot) -> bool {
-    let Some(stream) = host.batch.streams.enter(slot) else {
-        return false;
-    };
+/// Whether this host has not read the stream to its head for long: another host may have shown
+/// results that this one does not know.
+fn is_stale(host: &Host, stream: &Stream) -> bool {
     let fresh = stream.jobs.progress().fresh;
     fresh.is_none_or(|f| host.now().saturating_sub(f) > STALE)
 }
--- a/src/batch/serve.rs
+++ b/src/batch/serve.rs
@@ -3,6 +3,7 @@
 use super::{
     accept::accept,
     message::{Brief, JobCall, Line, NewJob, Order, Run, Span, Told, Which},
+    passed,
     stream::Stream,
 };
 use crate::{
@@ -50,9 +51,8 @@
             let (job, at) = find(host, stream, which)?;
             Ok(Told::Items(items(&job, at, *from, *limit, RUN_BYTES)))
         }
-        Order::Finished { which, from } => {
-            let (job, at) = find(host, stream, which)?;
-            Ok(Told::Items(finished(&job, at, *from)))
+        Order::Finished { which, from, wait } => {
+            passed::finished_here(host, stream, which, *from, *wait).map(Told::Items)
         }
         Order::Body { which, item } => {
             let (job, at) = find(host, stream, which)?;
@@ -98,6 +98,7 @@
         let text = "the host is stopping; use another";
         return Err(Fail::new(Kind::Stopping, text));
     }
+    passed::check_quota(host, stream, job)?;
     let job = accept(host, stream, job)?;
     let at = stream.jobs.view(|s| s.at);
     Ok(Told::Job(Brief::new(&job, at)))
@@ -105,7 +106,7 @@
 
 /// The job with the position of the state. A job that this host does not know is looked for again
 /// once the host has read to the present head of the log.
-fn find(host: &Host, stream: &Stream, which: &Which) -> Res<(Arc<Job>, Pos)> {
+pub(super) fn find(host: &Host, stream: &Stream, which: &Which) -> Res<(Arc<Job>, Pos)> {
     let began = host.now();
     let id = &which.id;
     let is_shown = |job: &Job| which.workspace.as_ref().is_none_or(|w| *w == job.workspace);
@@ -132,6 +133,9 @@
 /// Waits for a reading of the log that began after `since` and reached the head.
 fn wait_fresh(host: &Host, stream: &Stream, since: Time) -> bool {
     let end = since + CATCH_UP;
+    if !host.relay.is_lost() {
+        stream.jobs.read_now();
+    }
     while host.now() < end && !host.is_dead() {
         if stream.jobs.progress().fresh.is_some_and(|t| t >= since) {
             return true;
@@ -159,7 +163,7 @@
 
 /// Items of `job` in the order in which they finished, from the position `from` on: at least one if
 /// there is one, and some more while they are small.
-fn finished(job: &Job, at: Pos, from: usize) -> Run {
+pub(super) fn finished(job: &Job, at: Pos, from: usize) -> Run {
     let mut bytes = 0;
     let mut lines = Vec::new();
     for index in job.finished.iter().skip(from) {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -45,7 +45,7 @@
     pub interval: Duration,
     /// Longest time that a caller waits for a log that takes nothing.
     pub wait: Duration,
-    /// Most appends a second of the whole fleet.
+    /// Most appends a second of the whole fleet to streams of batch jobs.
     pub appends: u64,
     /// Number of streams that the batch jobs are spread over; the same on all hosts.
     pub streams: usize,
@@ -93,6 +93,11 @@
             write: r.millis("limits", "write_ms", 100, 600_000, 10_000),
         };
         let control = r.addr("listen", "control");
+        let appends = r.number("log", "appends_per_s", 1, 100_000, 200);
+        let appends = appends * r.number("log", "job_appends_percent", 1, 100, 100) / 100;
+        let streams = r.number("log", "job_streams", 1, 4096, 1) as usize;
+        let one = r.number("log", "one_stream_appends_per_s", 0, 100_000, 0);
+        let streams = streams_for(appends, streams, one);
         let token = r.digest("listen", "token_sha256", !control.ip().is_loopback());
         let settings = Self {
             name: r.name("host", "name"),
@@ -112,8 +117,8 @@
             drain: r.millis("stop", "drain_ms", 0, 3_600_000, 120_000),
             interval: r.millis("log", "interval_ms", 1, 60_000, 20),
             wait: r.millis("log", "wait_ms", 100, 600_000, 10_000),
-            appends: r.number("log", "appends_per_s", 1, 100_000, 200),
-            streams: r.number("log", "job_streams", 1, 4096, 1) as usize,
+            appends,
+            streams,
             readers: r.number("log", "job_readers", 1, 64, 3) as usize,
             lease: r.millis("batch", "lease_ms", 500, 600_000, 6_000),
             parallel: r.number("batch", "parallel", 1, 10_000, 64) as usize,
@@ -131,3 +136,12 @@
         r.finish(settings)
     }
 }
+
+/// Streams of batch jobs for a fleet that may make `appends` a second: one that every host follows
+/// where one can take them all (`one`, a second), else `most`.
+pub fn streams_for(appends: u64, most: usize, one: u64) -> usize {
+    match appends <= one {
+        true => 1,
+        false => most,
+    }
+}
--- a/tests/batch_readers.rs
+++ b/tests/batch_readers.rs
@@ -44,6 +44,7 @@
         workspace: Some("w0".into()),
     };
     let create = Order::Create(NewJob {
+        quota: None,
         id: "batch_1".into(),
         workspace: "w0".into(),
         asks: Vec::new(),
