--- a/src/batch/forward.rs
+++ b/src/batch/forward.rs
@@ -18,7 +18,7 @@
 /// Time for an answer to travel, beyond the time that the work may take.
 const TRAVEL: Duration = Duration::from_secs(2);
 /// Streams that are asked at the same time.
-const WINDOW: usize = 16;
+pub(super) const WINDOW: usize = 16;
 
 /// Carries `order` out in the stream of `slot`: here if this host follows it, else at one of its
 /// readers, or the next one if that is lost. Every order may be carried out twice.
@@ -120,9 +120,11 @@
             Self::Create(_) => deadline + wait,
             Self::Cancel(_) | Self::Delete(_) => wait + serve::CATCH_UP,
             Self::Finished { wait, .. } => *wait + 2 * serve::CATCH_UP,
-            Self::Show(_) | Self::Items { .. } | Self::Body { .. } | Self::List(_) => {
-                2 * serve::CATCH_UP
-            }
+            Self::Show(_)
+            | Self::Items { .. }
+            | Self::Body { .. }
+            | Self::Waiting { .. }
+            | Self::List(_) => 2 * serve::CATCH_UP,
         };
         work + TRAVEL
     }
--- a/src/batch/message.rs
+++ b/src/batch/message.rs
@@ -54,6 +54,13 @@
         /// Longest wait for the first one.
         wait: Duration,
     },
+    /// Tell how many tokens of a workspace wait in the stream.
+    Waiting {
+        /// Workspace.
+        workspace: Name,
+        /// Route that they count on.
+        quota: Quota,
+    },
     /// Body of an item that has not ended.
     Body {
         /// The job.
@@ -134,6 +141,13 @@
         /// Position of the state.
         at: Pos,
     },
+    /// Tokens that wait.
+    Tokens {
+        /// How many.
+        tokens: u64,
+        /// Position of the state.
+        at: Pos,
+    },
     /// Jobs.
     Jobs {
         /// The jobs.
@@ -255,7 +269,9 @@
     pub fn job(self) -> Res<Brief> {
         match self {
             Self::Job(job) | Self::Deleted { job, .. } => Ok(job),
-            Self::Items(_) | Self::Jobs { .. } | Self::Body { .. } => Err(crossed()),
+            Self::Items(_) | Self::Jobs { .. } | Self::Body { .. } | Self::Tokens { .. } => {
+                Err(crossed())
+            }
         }
     }
 
@@ -292,12 +308,26 @@
         }
     }
 
+    /// The number of tokens that was asked for.
+    ///
+    /// # Errors
+    /// The answer is to another question.
+    pub(super) fn tokens(self) -> Res<u64> {
+        match self {
+            Self::Tokens { tokens, .. } => Ok(tokens),
+            _ => Err(crossed()),
+        }
+    }
+
     /// Position at which it was so.
     pub(super) fn at(&self) -> Pos {
         match self {
             Self::Job(brief) => brief.at,
             Self::Items(run) => run.at,
-            Self::Jobs { at, .. } | Self::Deleted { at, .. } | Self::Body { at, .. } => *at,
+            Self::Jobs { at, .. }
+            | Self::Deleted { at, .. }
+            | Self::Body { at, .. }
+            | Self::Tokens { at, .. } => *at,
         }
     }
 }
--- a/src/batch/passed.rs
+++ b/src/batch/passed.rs
@@ -9,7 +9,7 @@
 use crate::{
     config::PassRoute,
     error::{Fail, Kind, Res},
-    job::{Ask, ItemState, Job, State},
+    job::Ask,
     kernel::Host,
     pass::{ELSEWHERE, Request},
     wire::Name,
@@ -20,8 +20,6 @@
 /// Age of the last reading of the log from which a host does not say that there are no more results.
 /// Readers may rely on results that another host showed a second ago (`settle_ms`).
 const STALE: Duration = Duration::from_millis(800);
-/// Time to come back for a job that does not fit: several items finish in it.
-const COME_BACK: Duration = Duration::from_secs(1);
 
 /// Accepts a job on `route`, or finds it if it was accepted before.
 ///
@@ -46,52 +44,6 @@
     })
 }
 
-/// Refuses a new job that does not fit in the limit of its workspace. Each stream has an equal part
-/// of the limit, so that no message is needed for the sum to hold.
-///
-/// # Errors
-/// `RateLimited`.
-pub(super) fn check_quota(host: &Host, stream: &Stream, job: &NewJob) -> Res<()> {
-    let Some(quota) = &job.quota else {
-        return Ok(());
-    };
-    let limit = quota.tokens / host.batch.streams.slots().len() as u64;
-    let new: u64 = job.asks.iter().map(|a| u64::from(a.tokens)).sum();
-    let waiting = stream.jobs.view(|s| match s.job(&job.id) {
-        Some(_) => None,
-        None => Some(waiting_tokens(s, &job.workspace, quota)),
-    });
-    if let Some(waiting) = waiting.filter(|w| w + new > limit) {
-        let text = format!(
-            "{waiting} tokens of the workspace wait; {new} more are over the limit of {limit}"
-        );
-        return Err(Fail::new(Kind::RateLimited, text).retry_after(COME_BACK));
-    }
-    Ok(())
-}
-
-/// Tokens of the open items of `workspace` on `route`.
-fn waiting_tokens(state: &State, workspace: &str, quota: &Quota) -> u64 {
-    let jobs = state.jobs.iter();
-    let jobs = jobs.filter(|j| *j.workspace == *workspace && j.counts.open > 0);
-    jobs.map(|j| open_tokens(j, quota)).sum()
-}
-
-fn open_tokens(job: &Job, quota: &Quota) -> u64 {
-    let open = job.items(0).filter_map(|i| match &i.state {
-        ItemState::Open { ask, .. } => Some(ask),
-        ItemState::Ended(_) => None,
-    });
-    let on_route = open.filter(|a| is_on(a, quota));
-    on_route.map(|a| u64::from(a.tokens)).sum()
-}
-
-fn is_on(ask: &Ask, quota: &Quota) -> bool {
-    ask.request
-        .as_ref()
-        .is_some_and(|r| r.host == quota.host && r.target.starts_with(&*quota.prefix))
-}
-
 /// Items of a job in the order in which they finished, from the position `from` on; waits up to
 /// `wait` for the first one.
 ///
--- /dev/null
+++ b/src/batch/quota.rs
@@ -0,0 +1,164 @@
+//! The limit of a workspace's waiting tokens, over all streams.
+//!
+//! Jobs are spread over streams by a hash, so that a stream in which little waits shows that the sum
+//! is far from the limit; else the other streams are asked. What is being accepted counts as waiting.
+
+use super::{
+    forward::{WINDOW, ask},
+    message::{NewJob, Order, Quota, Told},
+    stream::{Slot, Stream},
+};
+use crate::{
+    error::{Fail, Kind, Res},
+    job::{Ask, ItemState, Job, State},
+    kernel::Host,
+    wire::Name,
+};
+use std::{sync::Mutex, thread, time::Duration};
+
+/// Time to come back for a job that does not fit: several items finish in it.
+const COME_BACK: Duration = Duration::from_secs(1);
+/// A stream that has less than this part of its mean share waiting tells that the sum is far below
+/// the limit.
+const FAR: u64 = 4;
+
+/// Tokens of jobs that are being accepted.
+#[derive(Debug, Default)]
+pub(super) struct Pending(Mutex<Vec<(Name, u64)>>);
+
+/// Tokens that count as waiting until this is dropped.
+#[derive(Debug)]
+pub(super) struct Reserved<'a> {
+    pending: &'a Pending,
+    workspace: Name,
+    tokens: u64,
+}
+
+impl Drop for Reserved<'_> {
+    fn drop(&mut self) {
+        let mut list = self.pending.0.lock().expect("pending tokens");
+        if let Ok(at) = list.binary_search_by(|(name, _)| name.cmp(&self.workspace)) {
+            list[at].1 -= self.tokens;
+            if list[at].1 == 0 {
+                list.remove(at);
+            }
+        }
+    }
+}
+
+impl Pending {
+    fn of(&self, workspace: &str) -> u64 {
+        let list = self.0.lock().expect("pending tokens");
+        let found = list.binary_search_by(|(name, _)| (**name).cmp(workspace));
+        found.map_or(0, |at| list[at].1)
+    }
+
+    fn add(&self, workspace: &Name, tokens: u64) -> Reserved<'_> {
+        let mut list = self.0.lock().expect("pending tokens");
+        match list.binary_search_by(|(name, _)| name.cmp(workspace)) {
+            Ok(at) => list[at].1 += tokens,
+            Err(at) => list.insert(at, (workspace.clone(), tokens)),
+        }
+        Reserved {
+            pending: self,
+            workspace: workspace.clone(),
+            tokens,
+        }
+    }
+}
+
+/// Whether `new` tokens fit beside `own` in one of `streams` streams without a look at the others.
+pub fn is_far_below(own: u64, new: u64, limit: u64, streams: usize) -> bool {
+    let streams = streams.max(1) as u64;
+    streams > 1 && (own + new).saturating_mul(streams * FAR) <= limit
+}
+
+/// Reserves the tokens of a new job, which count as waiting until it is in the state.
+///
+/// # Errors
+/// `RateLimited` if they do not fit in the limit of its workspace.
+pub(super) fn reserve<'a>(
+    host: &Host,
+    stream: &'a Stream,
+    job: &NewJob,
+) -> Res<Option<Reserved<'a>>> {
+    let Some(quota) = &job.quota else {
+        return Ok(None);
+    };
+    if stream.jobs.view(|s| s.job(&job.id).is_some()) {
+        return Ok(None);
+    }
+    let own = waiting(stream, &job.workspace, quota);
+    let new: u64 = job.asks.iter().map(|a| u64::from(a.tokens)).sum();
+    let reserved = stream.pending.add(&job.workspace, new);
+    let slots = host.batch.streams.slots();
+    if is_far_below(own, new, quota.tokens, slots.len()) {
+        return Ok(Some(reserved));
+    }
+    let waiting = own + elsewhere(host, stream, &job.workspace, quota);
+    if waiting + new > quota.tokens {
+        let text = format!(
+            "{waiting} tokens of the workspace wait; {new} more are over the limit of {}",
+            quota.tokens
+        );
+        return Err(Fail::new(Kind::RateLimited, text).retry_after(COME_BACK));
+    }
+    Ok(Some(reserved))
+}
+
+/// Tokens of `workspace` that wait on the route of `quota` in this stream, those of jobs that are
+/// being accepted included.
+pub(super) fn waiting(stream: &Stream, workspace: &str, quota: &Quota) -> u64 {
+    let pending = stream.pending.of(workspace);
+    pending + stream.jobs.view(|s| waiting_tokens(s, workspace, quota))
+}
+
+/// The same in all other streams. One that cannot be asked counts with its mean share.
+fn elsewhere(host: &Host, stream: &Stream, workspace: &Name, quota: &Quota) -> u64 {
+    let slots = host.batch.streams.slots();
+    let share = quota.tokens / slots.len().max(1) as u64;
+    let order = Order::Waiting {
+        workspace: workspace.clone(),
+        quota: quota.clone(),
+    };
+    let ask_one = |slot: &Slot| {
+        let told = ask(host, slot, &order).and_then(Told::tokens);
+        told.unwrap_or_else(|fail| {
+            tracing::info!(stream = &*slot.name, error = %fail, share, "waiting_tokens_not_told");
+            share
+        })
+    };
+    let others: Vec<&Slot> = slots.iter().filter(|s| s.name != *stream.name()).collect();
+    let mut sum = 0;
+    for group in others.chunks(WINDOW) {
+        sum += thread::scope(|scope| {
+            let asked = group.iter().map(|s| scope.spawn(|| ask_one(s)));
+            let asked: Vec<_> = asked.collect();
+            let told = asked.into_iter().map(|t| t.join().expect("waiting tokens"));
+            told.sum::<u64>()
+        });
+    }
+    sum
+}
+
+/// Tokens of the open items of `workspace` on the route of `quota`.
+fn waiting_tokens(state: &State, workspace: &str, quota: &Quota) -> u64 {
+    let jobs = state.jobs.iter();
+    let jobs = jobs.filter(|j| *j.workspace == *workspace && j.counts.open > 0);
+    jobs.map(|j| open_tokens(j, quota)).sum()
+}
+
+fn open_tokens(job: &Job, quota: &Quota) -> u64 {
+    let open = job.items(0).filter_map(|i| match &i.state {
+        ItemState::Open { ask, .. } => Some(ask),
+        ItemState::Ended(_) => None,
+    });
+    let on_route = open.filter(|a| is_on(a, quota));
+    on_route.map(|a| u64::from(a.tokens)).sum()
+}
+
+fn is_on(ask: &Ask, quota: &Quota) -> bool {
+    ask.request
+        .as_ref()
+        .is_some_and(|r| r.host == quota.host && r.target.starts_with(&*quota.prefix))
+}
--- a/src/batch/serve.rs
+++ b/src/batch/serve.rs
@@ -3,7 +3,7 @@
 use super::{
     accept::accept,
     message::{Brief, JobCall, Line, NewJob, Order, Run, Span, Told, Which},
-    passed,
+    passed, quota,
     stream::Stream,
 };
 use crate::{
@@ -54,6 +54,10 @@
         Order::Finished { which, from, wait } => {
             passed::finished_here(host, stream, which, *from, *wait).map(Told::Items)
         }
+        Order::Waiting { workspace, quota } => Ok(Told::Tokens {
+            tokens: quota::waiting(stream, workspace, quota),
+            at: stream.jobs.view(|s| s.at),
+        }),
         Order::Body { which, item } => {
             let (job, at) = find(host, stream, which)?;
             let body = body_of(&job, item);
@@ -98,7 +102,7 @@
         let text = "the host is stopping; use another";
         return Err(Fail::new(Kind::Stopping, text));
     }
-    passed::check_quota(host, stream, job)?;
+    let _reserved = quota::reserve(host, stream, job)?;
     let job = accept(host, stream, job)?;
     let at = stream.jobs.view(|s| s.at);
     Ok(Told::Job(Brief::new(&job, at)))
--- a/src/batch/stream.rs
+++ b/src/batch/stream.rs
@@ -1,6 +1,6 @@
 //! The streams that carry the jobs, and what this host keeps of each that it follows.
 
-use super::{Loads, Planner, Scheduler, keep::LastTick};
+use super::{Loads, Planner, Scheduler, keep::LastTick, quota::Pending};
 use crate::{
     clock::{SystemClock, Time},
     fold::{Fold, Follower, Pos},
@@ -72,6 +72,8 @@
     pub(super) tick: Mutex<LastTick>,
     /// When the host began to give up its parts.
     pub(super) closed: Mutex<Option<Time>>,
+    /// Tokens of jobs that are being accepted.
+    pub(super) pending: Pending,
     /// Requests that use the state.
     users: AtomicUsize,
 }
@@ -210,6 +212,7 @@
             yielding: AtomicBool::new(false),
             tick: Mutex::default(),
             closed: Mutex::default(),
+            pending: Pending::default(),
             users: AtomicUsize::new(0),
         });
         stream.jobs.start();
