Requests without a prompt prefix are spread over the servers

Before: order_no_prefix_spreads did not compile (a prefix was required). After: 12 servers get 50 to 200 of 1,200 each.

--- a/benches/route.rs
+++ b/benches/route.rs
@@ -20,7 +20,7 @@
 fn order_subset(bencher: Bencher) {
     let all: Vec<Candidate> = (0..SUBSET).map(candidate).collect();
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    bencher.bench_local(|| order(Class::Online, 7, black_box(&all), 6, &mut rng));
+    bencher.bench_local(|| order(Class::Online, Some(7), black_box(&all), 6, &mut rng));
 }
 
 /// Chooses a host's servers out of the size to design for.
--- a/examples/decision_costs.rs
+++ b/examples/decision_costs.rs
@@ -184,7 +184,7 @@
     let all: Vec<Candidate> = (0..count).map(candidate).collect();
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     nanos(200, |n| {
-        black_box(order(Class::Online, n as u64, &all, 6, &mut rng));
+        black_box(order(Class::Online, Some(n as u64), &all, 6, &mut rng));
     })
 }
 
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -28,10 +28,12 @@
     pub usable: Use,
 }
 
-/// The servers to ask, the best first, `most` at most.
+/// The servers to ask, the best first, `most` at most. Online requests with a `prefix` go where it is
+/// likely to be cached; those without one have nothing to find there, and all hosts would send them to
+/// the same server.
 pub fn order<R: Rng>(
     class: Class,
-    prefix: u64,
+    prefix: Option<u64>,
     all: &[Candidate],
     most: usize,
     rng: &mut R,
@@ -44,10 +46,8 @@
     match class {
         Class::Online => {
             let mean = open.iter().map(|c| c.load).sum::<f32>() / open.len().max(1) as f32;
-            let home = open
-                .iter()
-                .max_by_key(|c| rendezvous(prefix, &c.name))
-                .filter(|c| c.load <= mean + AFFINITY_SLACK && c.load < 1.0);
+            let home = prefix.and_then(|p| open.iter().max_by_key(|c| rendezvous(p, &c.name)));
+            let home = home.filter(|c| c.load <= mean + AFFINITY_SLACK && c.load < 1.0);
             chosen.extend(home);
             open.retain(|c| !chosen.contains(c));
             take_better(&mut open, &mut chosen, most, rng, |c| {
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -162,7 +162,7 @@
         if !work.repeatable {
             all.retain(|c| c.usable != Use::Probe);
         }
-        let prefix = prefix_hash(&work.prompt);
+        let prefix = (!work.prompt.is_empty()).then(|| prefix_hash(&work.prompt));
         let chosen = order(work.class, prefix, &all, ASKED, &mut rand::rng());
         if chosen.is_empty() {
             let text = "every server that has the model is set aside";
--- a/tests/route_choose.rs
+++ b/tests/route_choose.rs
@@ -26,7 +26,7 @@
 }
 
 fn first(class: Class, all: &[Candidate], rng: &mut ChaCha8Rng) -> Name {
-    order(class, PREFIX, all, 3, rng)[0].clone()
+    order(class, Some(PREFIX), all, 3, rng)[0].clone()
 }
 
 #[test]
@@ -38,6 +38,18 @@
     }
 }
 
+#[test]
+fn order_no_prefix_spreads() {
+    let (all, mut rng) = (servers(12), rng());
+    let mut counts = [0; 12];
+    for _ in 0..1200 {
+        let chosen = order(Class::Online, None, &all, 1, &mut rng)[0].clone();
+        let at = all.iter().position(|c| c.name == chosen);
+        counts[at.expect("server")] += 1;
+    }
+    assert!(counts.iter().all(|c| (50..200).contains(c)), "{counts:?}");
+}
+
 #[test]
 fn order_home_loaded_goes_elsewhere() {
     let (mut all, mut rng) = (servers(12), rng());
@@ -52,8 +64,8 @@
     let (all, mut rng) = (servers(12), rng());
     let without = &all[1..];
     for prefix in 0..200 {
-        let before = order(Class::Online, prefix, &all, 1, &mut rng)[0].clone();
-        let after = order(Class::Online, prefix, without, 1, &mut rng)[0].clone();
+        let before = order(Class::Online, Some(prefix), &all, 1, &mut rng)[0].clone();
+        let after = order(Class::Online, Some(prefix), without, 1, &mut rng)[0].clone();
         assert!(before == after || before == all[0].name);
     }
 }
@@ -64,7 +76,7 @@
     all[0].usable = Use::Aside;
     all[1].usable = Use::Probe;
     all[2].usable = Use::Probe;
-    let chosen = order(Class::Online, PREFIX, &all, 4, &mut rng);
+    let chosen = order(Class::Online, Some(PREFIX), &all, 4, &mut rng);
     assert_eq!(chosen[0], all[1].name);
     assert!(!chosen.contains(&all[0].name) && !chosen.contains(&all[2].name));
 }
