A stalled stream that trickles bytes ends: progress is an event, not a byte

Cause: any byte of a server reset the measure of its silence, and the deadline and the caller were looked at only while nothing arrived. A server that sent ':' every 2 ms held a stream past its deadline of 20 s (client gave up after 30 s). Ruled out: a limit for each read; the bytes do arrive. Before: stream_trickling_goes_on_elsewhere fails. After: passes, with stream_silent_goes_on_elsewhere unchanged; a slow sound stream makes events.

--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -5,6 +5,7 @@
     dispatch::{Run, Sink},
 };
 use crate::{
+    clock::Time,
     error::{Fail, Kind},
     gate::Slot,
     pass::{Conn, Entered, Event, Events, Head, ReadError, Request, Sending, Verdict},
@@ -53,9 +54,9 @@
         self.sent += 1;
         conn.send(&head_text(request, &fields), &request.body)
             .map_err(|e| self.lost(&format!("the request was cut: {e}"), entered.is_ended()))?;
-        let mut silent = Duration::ZERO;
+        let since = host.now();
         let head = loop {
-            if let Some(head) = self.arrived(conn.head(POLL), &mut silent, &entered)? {
+            if let Some(head) = self.arrived(conn.head(POLL), since, &entered)? {
                 break head;
             }
         };
@@ -93,12 +94,13 @@
         entered: &Entered<'_>,
     ) -> Result<Answer, Stop> {
         let mut events = Events::default();
-        let mut silent = Duration::ZERO;
+        let mut since = self.host.now();
         loop {
             let read = conn.read(POLL, events.buffer());
-            let Some(more) = self.arrived(read, &mut silent, entered)? else {
+            let Some(more) = self.arrived(read, since, entered)? else {
                 continue;
             };
+            let mut moved = false;
             while let Some(event) = events
                 .pop()
                 .map_err(|_| broken("an event of the answer is not valid"))?
@@ -108,8 +110,15 @@
                     let timeline = &self.host.timeline;
                     timeline.note(Happening::FirstToken, &slot.id, None, &slot.server);
                 }
+                moved |= event.id.is_some() || !event.data.is_empty();
                 self.pass_event(head, &event)?;
             }
+            // Bytes that never become an event are no progress, and neither are comments.
+            if moved {
+                since = self.host.now();
+            } else if more {
+                self.go_on(since)?;
+            }
             if !more {
                 if events.is_torn() {
                     let text = "the answer ended in the middle of an event";
@@ -151,15 +160,19 @@
         entered: &Entered<'_>,
     ) -> Result<Answer, Stop> {
         let mut body = Vec::new();
-        let mut silent = Duration::ZERO;
+        let mut since = self.host.now();
         loop {
             let read = conn.read(POLL, &mut body);
-            match self.arrived(read, &mut silent, entered)? {
+            match self.arrived(read, since, entered)? {
                 Some(false) => break,
                 Some(true) if body.len() > WHOLE_MAX => {
                     return Err(broken("the answer is too long"));
                 }
-                Some(true) | None => {}
+                Some(true) => {
+                    since = self.host.now();
+                    self.go_on(since)?;
+                }
+                None => {}
             }
         }
         if head.status < 400 {
@@ -182,31 +195,34 @@
         }
     }
 
-    /// What a read gave; none if nothing arrived, the answer is still wanted and the server was not
-    /// silent for too long.
+    /// What a read gave; none if nothing arrived, the answer is still wanted and the server has made
+    /// progress lately, the last time at `since`.
     fn arrived<T>(
         &mut self,
         read: Result<T, ReadError>,
-        silent: &mut Duration,
+        since: Time,
         entered: &Entered<'_>,
     ) -> Result<Option<T>, Stop> {
         match read {
-            Ok(read) => {
-                *silent = Duration::ZERO;
-                return Ok(Some(read));
-            }
+            Ok(read) => return Ok(Some(read)),
             Err(ReadError::Broken(text)) => return Err(self.lost(&text, entered.is_ended())),
             Err(ReadError::Quiet) if entered.is_ended() => return Err(self.lost("", true)),
             Err(ReadError::Quiet) => {}
         }
+        self.go_on(since).map(|()| None)
+    }
+
+    /// Ends an attempt that nobody waits for, or that may be repeated and made no progress since
+    /// `since` for too long.
+    fn go_on(&mut self, since: Time) -> Result<(), Stop> {
         self.in_time()
             .and_then(|()| self.sink.check())
             .map_err(Stop::Unwanted)?;
-        *silent += POLL;
-        if self.work.repeatable && *silent >= SILENCE {
+        let silent = self.host.now().saturating_sub(since);
+        if self.work.repeatable && silent >= SILENCE {
             return Err(self.lost("the server is silent", false));
         }
-        Ok(None)
+        Ok(())
     }
 
     /// Why an attempt ended early: batch work gave way, or the server failed.
