A new start lends at once half of what a window of the promise tolerates

Ruled out: a floor of unspent tokens in the log, which locks up to the floor while the log is away. Tests: limit_opening, 3 cases; opening_serves_wave_after_start fails without it. A request has one retry; the others still come together.

--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -76,7 +76,10 @@
             own: settings.own,
             ..Self::default()
         };
-        limits.lender.lock().expect("lender").proof = Proof::lasting(settings.proof);
+        let mut lender = limits.lender.lock().expect("lender");
+        lender.proof = Proof::lasting(settings.proof);
+        lender.tolerance = settings.tolerance;
+        drop(lender);
         limits
     }
 
--- a/src/limit/lend.rs
+++ b/src/limit/lend.rs
@@ -1,7 +1,8 @@
 //! The lending side: slots that this host holds.
 
 use super::{
-    Bucket, CLAIM_WAIT, GROW_WAIT, LOAN_MAX, Proof, Record, Share, Slot, loan_span, minted,
+    Bucket, CLAIM_WAIT, GROW_WAIT, LOAN_MAX, Proof, Record, Share, Slot, Tolerance, loan_span,
+    minted,
 };
 use crate::{
     clock::Time,
@@ -90,6 +91,8 @@
     given: Vec<Given>,
     /// What is known of still holding them.
     pub proof: Proof,
+    /// What a new start of a holder may begin with.
+    pub tolerance: Tolerance,
 }
 
 impl Lender {
@@ -115,11 +118,11 @@
                 false
             }
             Ok(i) => {
-                self.held[i] = Held::new(workspace, number, slot, share, now);
+                self.held[i] = Held::new(workspace, number, slot, (share, self.tolerance), now);
                 true
             }
             Err(i) if mine => {
-                let held = Held::new(workspace, number, slot, share, now);
+                let held = Held::new(workspace, number, slot, (share, self.tolerance), now);
                 self.held.insert(i, held);
                 true
             }
@@ -219,7 +222,13 @@
 impl Held {
     /// A slot as it begins: full if nobody held it before, with what was left if it was released,
     /// or empty and only after the wait.
-    fn new(workspace: &Name, number: u32, slot: &Slot, share: Share, now: Time) -> Self {
+    fn new(
+        workspace: &Name,
+        number: u32,
+        slot: &Slot,
+        (share, tolerance): (Share, Tolerance),
+        now: Time,
+    ) -> Self {
         let open = match (slot.forced, slot.succeeded) {
             (true, _) => Some(now + CLAIM_WAIT),
             // The earlier start of this host ended before this one's clock began to count.
@@ -228,8 +237,8 @@
         };
         let left = match (slot.forced, slot.succeeded) {
             (true, _) => 0,
-            // What the rate gave since this start; nobody spent of it.
-            (false, true) => minted(share, open.unwrap_or(now)),
+            // What the rate gave since this start, of which nobody spent, and what the tolerance allows.
+            (false, true) => minted(share, open.unwrap_or(now)) + tolerance.opening(share),
             (false, false) => slot.left,
         };
         let settled = open.unwrap_or(now + LOAN_MAX + LOAN_MAX / 4);
--- a/src/limit/split.rs
+++ b/src/limit/split.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Most slots of a workspace.
-const SLOTS_MAX: u32 = 4;
+pub(super) const SLOTS_MAX: u32 = 4;
 /// Least burst of a slot if a workspace has several.
 const SLOT_BURST: u32 = 8;
 /// Parts of a request in which a rate is divided. A thousandth is kept back for clocks that run
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,7 +4,7 @@
 
 pub use reader::{Problem, Reader};
 
-use crate::{http::Bounds, wire::Name};
+use crate::{http::Bounds, limit::Tolerance, wire::Name};
 use std::{net::SocketAddr, time::Duration};
 
 /// Everything that the daemon is told at its start.
@@ -69,6 +69,8 @@
     pub own: u32,
     /// Age of the last proof of holding a rate slot after which its holder stops lending.
     pub proof: Duration,
+    /// How far requests of a window may exceed a rate; a new start begins with half of it.
+    pub tolerance: Tolerance,
     /// Most models that the whole fleet begins to load in a minute.
     pub loads: u64,
     /// Longest time for an order to a backend server to take effect.
@@ -129,6 +131,11 @@
             retries: r.number("limits", "retries_percent", 0, 100, 10),
             own: r.number("limits", "own_percent", 0, 90, 0) as u32,
             proof: r.millis("limits", "proof_ms", 1_000, 10_000, 3_000),
+            tolerance: Tolerance {
+                window: r.seconds("limits", "rate_window_s", 0.0, 3600.0, 0.0),
+                excess: r.decimal("limits", "rate_excess", 0.0, 1.0, 0.0),
+                slack: r.number("limits", "rate_slack", 0, 100_000, 0) as u32,
+            },
             loads: r.number("orders", "loads_per_minute", 1, 1_000_000, 600),
             load: r.millis("orders", "load_ms", 100, 86_400_000, 600_000),
             events: r.number("timeline", "events", 100, 10_000_000, 20_000) as usize,
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -99,6 +99,34 @@
             .unwrap_or_default()
     }
 
+    /// A decimal number from `least` to `most`, or `default`.
+    pub fn decimal(
+        &mut self,
+        section: &str,
+        key: &str,
+        least: f64,
+        most: f64,
+        default: f64,
+    ) -> f64 {
+        let allowed = format!("a number from {least} to {most}");
+        let parsed = self.parse(section, key, &allowed, |v| {
+            v.parse().ok().filter(|n| (least..=most).contains(n))
+        });
+        parsed.unwrap_or(default)
+    }
+
+    /// Seconds, which may have a fraction, from `least` to `most`, or `default`.
+    pub fn seconds(
+        &mut self,
+        section: &str,
+        key: &str,
+        least: f64,
+        most: f64,
+        default: f64,
+    ) -> Duration {
+        Duration::from_secs_f64(self.decimal(section, key, least, most, default))
+    }
+
     /// An `http://` URL of an IP address and port without a path; required.
     pub fn url(&mut self, section: &str, key: &str) -> Name {
         let allowed = "http://IP:PORT; required";
--- /dev/null
+++ b/tests/limit_opening.rs
@@ -0,0 +1,175 @@
+//! What may be lent right after a start of all hosts: at once, and never beyond the promise of a window.
+
+use gooseberrytack::{
+    config::Workspace,
+    limit::{Lender, Lending, Report, Slot, Tolerance, Wish, share, slots},
+    wire::Name,
+};
+use std::time::Duration;
+
+const STEP: Duration = Duration::from_millis(10);
+const WINDOW: Duration = Duration::from_secs(5);
+const TOLERANCE: Tolerance = Tolerance {
+    window: WINDOW,
+    excess: 0.1,
+    slack: 20,
+};
+/// Time of the day at which all hosts stop.
+const STOP: Duration = Duration::from_secs(12);
+/// Time from there until they are back.
+const AWAY: Duration = Duration::from_millis(500);
+
+fn workspace(rate: u32, burst: u32) -> Workspace {
+    Workspace {
+        name: "w".into(),
+        weight: 1,
+        rate,
+        burst,
+    }
+}
+
+/// The holders of a workspace's slots, one process each, and a borrower that takes all there is.
+struct Fleet {
+    workspace: Workspace,
+    lenders: Vec<Lender>,
+    seq: u64,
+}
+
+impl Fleet {
+    /// `slot` as it stands in the log for each of them.
+    fn start(workspace: &Workspace, slot: &Slot, tolerance: Tolerance) -> Self {
+        let name: Name = "w".into();
+        let lender = |number| {
+            let mut lender = Lender::default();
+            lender.tolerance = tolerance;
+            lender.proof.log(Duration::ZERO);
+            let share = share(workspace, number);
+            lender.sync(&name, number, slot, true, share, Duration::ZERO);
+            lender
+        };
+        Self {
+            workspace: workspace.clone(),
+            lenders: (0..slots(workspace.burst)).map(lender).collect(),
+            seq: 0,
+        }
+    }
+
+    /// Takes all that can be had at `now` by the lenders' clocks, and uses it.
+    fn take_all(&mut self, now: Duration) -> u32 {
+        let (name, host): (Name, Name) = ("w".into(), "b".into());
+        let most = self.workspace.burst;
+        let mut sum = 0;
+        for (number, lender) in self.lenders.iter_mut().enumerate() {
+            lender.proof.log(now);
+            self.seq += 1;
+            let mut wish = Wish {
+                workspace: &name,
+                slot: number as u32,
+                host: &host,
+                seq: self.seq,
+                need: most,
+                want: most,
+                reports: &[],
+            };
+            if let Lending::Lent(count, _) = lender.lend(&wish, now) {
+                sum += count;
+                let used = Report {
+                    seq: self.seq,
+                    used: count,
+                    back: 0,
+                };
+                wish.want = 0;
+                wish.reports = std::slice::from_ref(&used);
+                lender.lend(&wish, now);
+            }
+        }
+        sum
+    }
+}
+
+fn claimed(succeeded: bool) -> Slot {
+    Slot {
+        host: Some("h".into()),
+        epoch: if succeeded { 2 } else { 1 },
+        left: u32::MAX,
+        succeeded,
+        ..Slot::default()
+    }
+}
+
+/// Requests by time of day of a workspace that asks for all it can get, around a stop of all hosts.
+fn day(workspace: &Workspace, tolerance: Tolerance) -> Vec<(Duration, u32)> {
+    let mut taken = Vec::new();
+    let mut before = Fleet::start(workspace, &claimed(false), tolerance);
+    let mut now = Duration::ZERO;
+    // Idle at first, so that the burst is whole, and busy for less than a window before the stop.
+    while now < STOP {
+        if now >= STOP - Duration::from_secs(1) {
+            taken.push((now, before.take_all(now)));
+        }
+        now += STEP;
+    }
+    let back = STOP + AWAY;
+    let mut after = Fleet::start(workspace, &claimed(true), tolerance);
+    now = back;
+    while now < back + 2 * WINDOW {
+        taken.push((now, after.take_all(now - back)));
+        now += STEP;
+    }
+    taken
+}
+
+/// Most requests in a window.
+fn most_in_window(taken: &[(Duration, u32)]) -> u32 {
+    let sum_from = |start: Duration| {
+        let within = taken
+            .iter()
+            .filter(|(t, _)| *t >= start && *t < start + WINDOW);
+        within.map(|(_, n)| n).sum()
+    };
+    taken.iter().map(|(t, _)| sum_from(*t)).max().unwrap_or(0)
+}
+
+#[test]
+fn opening_windows_keep_promise() {
+    for (rate, burst) in [(60, 1), (600, 10), (2_160, 36), (8_820, 147), (30_000, 100)] {
+        let workspace = workspace(rate, burst);
+        let most = most_in_window(&day(&workspace, TOLERANCE));
+        let allowed = f64::from(rate) / 60.0 * 5.0 + f64::from(burst);
+        let limit = allowed * 1.1 + 20.0;
+        assert!(
+            f64::from(most) <= limit,
+            "{most} in a window, {limit} allowed, rate {rate} burst {burst}"
+        );
+    }
+}
+
+#[test]
+fn opening_serves_wave_after_start() {
+    // 36 requests a second, and a wave of twice that in the second after the start.
+    let workspace = workspace(2_160, 36);
+    let served = |tolerance| -> u32 {
+        let after = day(&workspace, tolerance);
+        let from = STOP + AWAY;
+        let first = after
+            .iter()
+            .filter(|(t, _)| *t >= from && *t < from + Duration::from_secs(1));
+        first.map(|(_, n)| n).sum()
+    };
+    let (with, without) = (served(TOLERANCE), served(Tolerance::default()));
+    assert!(with >= without + 16, "{with} with, {without} without");
+    // What the rate gives in that second and in the longest loan of the earlier start.
+    let rate = 36 + 36 * 5 / 8 + 1;
+    assert!(without <= rate, "no tolerance, no opening: {without}");
+}
+
+#[test]
+fn opening_at_most_half_of_tolerance() {
+    for (rate, burst) in [(60, 8), (2_160, 36), (8_820, 147), (600_000, 4_000)] {
+        let workspace = workspace(rate, burst);
+        let parts = (0..slots(burst)).map(|n| TOLERANCE.opening(share(&workspace, n)));
+        let sum = f64::from(parts.sum::<u32>());
+        let spare = (f64::from(rate) / 60.0 * 5.0 + f64::from(burst)) * 0.1 + 20.0;
+        assert!(sum <= spare / 2.0, "{sum} of {spare}");
+    }
+}
