--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -13,6 +13,7 @@
 mod request;
 mod resolver;
 mod server;
+mod service;
 mod watch;
 
 pub use client::{Client, Reply, SendError, Stream, Timeouts};
