--- a/src/batch/keep.rs
+++ b/src/batch/keep.rs
@@ -10,11 +10,11 @@
     job::{PartRef, Record, State},
     kernel::{Host, On, Plugin, Task},
     lease,
+    threads::spawn,
     timeline::Happening,
 };
 use std::{
     sync::{Arc, atomic::Ordering},
-    thread,
     time::Duration,
 };
 
@@ -30,9 +30,9 @@
         name: "batch",
         routes: super::api::ROUTES,
         tasks: &[
-            Task { name: "batch_look", every: LOOK, run: look, on: On::All },
-            Task { name: "batch_tick", every: Duration::from_millis(250), run: tick_all, on: On::All },
-            Task { name: "batch_place", every: Duration::from_millis(100), run: readers::place, on: On::All },
+            Task { name: "batch_look", every: LOOK, run: look, waits: false, on: On::All },
+            Task { name: "batch_tick", every: Duration::from_millis(250), run: tick_all, waits: true, on: On::All },
+            Task { name: "batch_place", every: Duration::from_millis(100), run: readers::place, waits: false, on: On::All },
         ],
         stop,
     }
@@ -61,7 +61,7 @@
 pub(super) fn follow(host: &Arc<Host>, slot: &Slot) {
     let stream = host.batch.streams.open(slot);
     let host = host.clone();
-    thread::spawn(move || {
+    spawn("batch-commit", move || {
         while !host.is_dead() && !stream.jobs.is_stopped() {
             commit(&host, &stream);
             host.clock.sleep(LOOK);
--- a/src/config/ends.rs
+++ b/src/config/ends.rs
@@ -27,7 +27,7 @@
     Plugin {
         name: "ends",
         routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/clock", handle: serve }],
-        tasks: &[Task { name: "ends", every: EVERY, run: withdraw_ended, on: On::Own }],
+        tasks: &[Task { name: "ends", every: EVERY, run: withdraw_ended, waits: true, on: On::Own }],
         stop: |_| {},
     }
 }
--- a/src/config/peer_state.rs
+++ b/src/config/peer_state.rs
@@ -20,7 +20,7 @@
     Plugin {
         name: "peer-state",
         routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/state/config", handle: serve }],
-        tasks: &[Task { name: "peer-state", every: EVERY, run: catch_up, on: On::Own }],
+        tasks: &[Task { name: "peer-state", every: EVERY, run: catch_up, waits: true, on: On::Own }],
         stop: |_| {},
     }
 }
--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -30,7 +30,7 @@
     Plugin {
         name: "declared",
         routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/declared", handle: serve }],
-        tasks: &[Task { name: "declared", every: EVERY, run: catch_up, on: On::Outside }],
+        tasks: &[Task { name: "declared", every: EVERY, run: catch_up, waits: true, on: On::Outside }],
         stop: |_| {},
     }
 }
--- a/src/entry/withdraw.rs
+++ b/src/entry/withdraw.rs
@@ -32,7 +32,7 @@
     Plugin {
         name: "withdraw",
         routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/keys/withdraw", handle: serve }],
-        tasks: &[Task { name: "withdraw", every: EVERY, run: pass_on, on: On::Own }],
+        tasks: &[Task { name: "withdraw", every: EVERY, run: pass_on, waits: true, on: On::Own }],
         stop: |_| {},
     }
 }
--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -10,6 +10,7 @@
     error::{Fail, Kind, Res},
     snapshot,
     store::{Log, Page},
+    threads::spawn,
     wire::Name,
 };
 use std::{
@@ -17,7 +18,6 @@
         Arc, Condvar, Mutex, RwLock,
         atomic::{AtomicBool, Ordering},
     },
-    thread,
     time::Duration,
 };
 
@@ -92,9 +92,9 @@
     /// Starts the reading and the appending thread.
     pub fn start(self: &Arc<Self>) {
         let reader = self.clone();
-        thread::spawn(move || reader.read_all());
+        spawn("follow-read", move || reader.read_all());
         let writer = self.clone();
-        thread::spawn(move || writer.append_all());
+        spawn("follow-append", move || writer.append_all());
     }
 
     /// Whether `stop` was called.
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -40,11 +40,11 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/leaves", handle: leaves },
         ],
         tasks: &[
-            Task { name: "gate-renew", every: RENEW_EVERY, run: |h| h.gates.held.renew(h), on: On::All },
-            Task { name: "gate-sweep", every: RENEW_EVERY, run: |h| h.gates.queues.sweep(h), on: On::All },
-            Task { name: "gate-served", every: REPORT_EVERY, run: fleet::report, on: On::All },
-            Task { name: "gate-flush", every: Duration::ZERO, run: |h| h.gates.held.flush(h), on: On::All },
-            Task { name: "gate-cancel", every: Duration::ZERO, run: |h| h.gates.queues.cancel_evicted(h), on: On::All },
+            Task { name: "gate-renew", every: RENEW_EVERY, run: |h| h.gates.held.renew(h), waits: true, on: On::All },
+            Task { name: "gate-sweep", every: RENEW_EVERY, run: |h| h.gates.queues.sweep(h), waits: false, on: On::All },
+            Task { name: "gate-served", every: REPORT_EVERY, run: fleet::report, waits: true, on: On::All },
+            Task { name: "gate-flush", every: Duration::ZERO, run: |h| h.gates.held.flush(h), waits: true, on: On::All },
+            Task { name: "gate-cancel", every: Duration::ZERO, run: |h| h.gates.queues.cancel_evicted(h), waits: true, on: On::All },
         ],
         stop: |_| {},
     }
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -9,7 +9,6 @@
 mod exchange;
 mod filter;
 mod input;
-mod pool;
 mod request;
 mod resolver;
 mod server;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -4,10 +4,10 @@
 use super::{
     conns::Conns,
     exchange::Exchange,
-    pool::Pool,
     service::Service,
     watch::{Found, Poller, Watch},
 };
+use crate::threads::Pool;
 use socket2::{Domain, Socket, Type};
 use std::{
     io::{self, ErrorKind},
@@ -106,7 +106,7 @@
         let service = Arc::new(Service {
             shared: shared.clone(),
             watch,
-            pool: Pool::default(),
+            pool: Pool::new("conn"),
             handler,
         });
         thread::Builder::new()
--- a/src/http/service.rs
+++ b/src/http/service.rs
@@ -4,11 +4,13 @@
     conns::Room,
     exchange::{Exchange, error_json},
     input::Input,
-    pool::Pool,
     server::Shared,
     watch::{Idle, Watch},
 };
-use crate::error::{Fail, Kind};
+use crate::{
+    error::{Fail, Kind},
+    threads::Pool,
+};
 use std::{
     io::{Read, Write},
     net::{Shutdown, TcpStream},
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -1,8 +1,9 @@
 //! One host: its state, its ports and threads, and how they start and stop.
 
 use super::{
-    Edges, On, Plugin, Port, RelayLog, Task,
+    Edges, On, Plugin, Port, RelayLog,
     ports::{collector, listen},
+    tasks,
 };
 use crate::{
     batch::Batch,
@@ -232,9 +233,7 @@
             false => On::Own,
         };
         let tasks = inventory::iter::<Plugin>().flat_map(|p| p.tasks);
-        for task in tasks.filter(|t| t.on != other) {
-            run_task(&host, task)?;
-        }
+        tasks::run_all(&host, tasks.filter(move |t| t.on != other))?;
         let note = format!("caller={} control={}", host.caller, host.control);
         host.timeline
             .note(Happening::Started, &host.me.name, None, &note);
@@ -288,7 +287,7 @@
     }
 
     /// Rests for `span`, or until the host is dead.
-    fn rest(&self, span: Duration) {
+    pub(super) fn rest(&self, span: Duration) {
         if span.is_zero() {
             return;
         }
@@ -357,16 +356,3 @@
 fn start_name(name: &Name) -> Name {
     format!("{name}.{:08x}", rand::random::<u32>()).into()
 }
-
-fn run_task(host: &Arc<Host>, task: &'static Task) -> io::Result<()> {
-    let host = host.clone();
-    thread::Builder::new()
-        .name(task.name.into())
-        .spawn(move || {
-            while !host.is_dead() {
-                (task.run)(&host);
-                host.rest(task.every);
-            }
-        })?;
-    Ok(())
-}
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -10,6 +10,7 @@
 mod ports;
 mod relay;
 mod router;
+mod tasks;
 
 pub use call::{Call, serve_call};
 pub use edges::{Edges, Outside};
@@ -54,12 +55,15 @@
 /// Work that a role does again and again.
 #[derive(Debug, Clone, Copy)]
 pub struct Task {
-    /// Name, for the thread.
+    /// Name.
     pub name: &'static str,
-    /// Time from the end of one run to the next.
+    /// Time from the beginning of one run to the next, which begins after the first has ended; zero for
+    /// a task that waits for its own events and runs all the time.
     pub every: Duration,
     /// One run; short, so that a stop is not held up.
     pub run: fn(&Arc<Host>),
+    /// Whether a run may wait for another process or for an event; such runs get a thread.
+    pub waits: bool,
     /// Hosts that need it.
     pub on: On,
 }
@@ -83,7 +87,7 @@
     pub name: &'static str,
     /// Paths that it answers.
     pub routes: &'static [Route],
-    /// Its periodic work, each in a thread of its own.
+    /// Its periodic work.
     pub tasks: &'static [Task],
     /// Called once when a planned stop begins, beside those of the other roles and before the ports
     /// close.
--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -49,7 +49,7 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/log/read", handle: serve_read },
             Route { port: Port::Peer, method: "POST", path: "/peer/log/append", handle: serve_append },
         ],
-        tasks: &[Task { name: "relay-probe", every: PROBE_EVERY, run: probe, on: On::All }],
+        tasks: &[Task { name: "relay-probe", every: PROBE_EVERY, run: probe, waits: true, on: On::All }],
         stop: |_| {},
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,5 +33,6 @@
 pub mod share;
 pub mod snapshot;
 pub mod store;
+pub mod threads;
 pub mod timeline;
 pub mod wire;
--- a/src/limit/task.rs
+++ b/src/limit/task.rs
@@ -27,8 +27,8 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/limit/borrow", handle: borrow },
         ],
         tasks: &[
-            Task { name: "slots", every: EVERY, run: claim_some, on: On::All },
-            Task { name: "proof", every: EVERY, run: prove, on: On::All },
+            Task { name: "slots", every: EVERY, run: claim_some, waits: true, on: On::All },
+            Task { name: "proof", every: EVERY, run: prove, waits: false, on: On::All },
         ],
         stop: release,
     }
--- a/src/member/reach.rs
+++ b/src/member/reach.rs
@@ -24,7 +24,7 @@
     Plugin {
         name: "reach",
         routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/member/reach", handle: serve }],
-        tasks: &[Task { name: "reach", every: EVERY, run: ask, on: On::All }],
+        tasks: &[Task { name: "reach", every: EVERY, run: ask, waits: true, on: On::All }],
         stop: |_| {},
     }
 }
--- a/src/member/task.rs
+++ b/src/member/task.rs
@@ -33,9 +33,9 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/member/announce", handle: announce_for },
         ],
         tasks: &[
-            Task { name: "announce", every: EVERY, run: announce, on: On::All },
-            Task { name: "list", every: EVERY, run: read_list, on: On::All },
-            Task { name: "probe", every: EVERY, run: probe, on: On::All },
+            Task { name: "announce", every: EVERY, run: announce, waits: true, on: On::All },
+            Task { name: "list", every: EVERY, run: read_list, waits: true, on: On::All },
+            Task { name: "probe", every: EVERY, run: probe, waits: true, on: On::All },
         ],
         stop: leave,
     }
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -45,8 +45,8 @@
             Route { port: Port::Metrics, method: "GET", path: "/metrics", handle: tell },
         ],
         tasks: &[
-            Task { name: "gauges", every: EVERY, run: report, on: On::All },
-            Task { name: "log-watch", every: WATCH_EVERY, run: watch, on: On::All },
+            Task { name: "gauges", every: EVERY, run: report, waits: false, on: On::All },
+            Task { name: "log-watch", every: WATCH_EVERY, run: watch, waits: false, on: On::All },
         ],
         stop: |_| {},
     }
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -32,7 +32,7 @@
             handle: issue::serve_loaded,
         }],
         // Servers of an outside system are not this product's to give orders to.
-        tasks: &[Task { name: "orders", every: EVERY, run: issue::run, on: On::Own }],
+        tasks: &[Task { name: "orders", every: EVERY, run: issue::run, waits: true, on: On::Own }],
         stop: |_| {},
     }
 }
--- a/src/snapshot/task.rs
+++ b/src/snapshot/task.rs
@@ -23,10 +23,10 @@
         name: "snapshot",
         routes: &[],
         tasks: &[
-            Task { name: "snap_config", every: LOOK, run: |h| step(h, &h.config, &h.snapshots.config), on: On::Own },
-            Task { name: "snap_jobs", every: LOOK, run: step_jobs, on: On::Own },
-            Task { name: "snap_homes", every: LOOK, run: |h| step(h, &h.homes, &h.snapshots.homes), on: On::Own },
-            Task { name: "snap_calls", every: LOOK, run: |h| step(h, &h.calls, &h.snapshots.calls), on: On::Own },
+            Task { name: "snap_config", every: LOOK, run: |h| step(h, &h.config, &h.snapshots.config), waits: true, on: On::Own },
+            Task { name: "snap_jobs", every: LOOK, run: step_jobs, waits: true, on: On::Own },
+            Task { name: "snap_homes", every: LOOK, run: |h| step(h, &h.homes, &h.snapshots.homes), waits: true, on: On::Own },
+            Task { name: "snap_calls", every: LOOK, run: |h| step(h, &h.calls, &h.snapshots.calls), waits: true, on: On::Own },
         ],
         stop: |_| {},
     }
--- a/src/http/pool.rs
+++ b/src/threads/mod.rs
@@ -1,8 +1,8 @@
-//! Threads that serve connections: as many as there are requests under way, kept for a short time.
+//! Threads for work that may wait: as many as there is work under way, kept for a short time.
 
 use std::{
     collections::VecDeque,
-    io,
+    fmt, io,
     sync::{Arc, Condvar, Mutex},
     thread,
     time::Duration,
@@ -11,14 +11,24 @@
 /// Stack of a thread in bytes.
 const STACK: usize = 512 * 1024;
 /// Time after which a thread without work ends.
-const REST: Duration = Duration::from_secs(1);
+const REST: Duration = Duration::from_millis(1500);
+
+/// Starts a thread called `name`.
+///
+/// # Panics
+/// The system has no room for a thread.
+pub fn spawn(name: &str, run: impl FnOnce() + Send + 'static) {
+    let started = thread::Builder::new().name(name.into()).spawn(run);
+    started.expect("thread");
+}
 
 /// Work for one thread.
 type Job = Box<dyn FnOnce() + Send>;
 
 /// Threads that begin any work at once: one more is started where all are busy.
-#[derive(Clone, Default)]
-pub(super) struct Pool {
+#[derive(Debug, Clone)]
+pub struct Pool {
+    name: &'static str,
     inner: Arc<Inner>,
 }
 
@@ -35,12 +45,26 @@
     free: usize,
 }
 
+impl fmt::Debug for Inner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Inner")
+    }
+}
+
 impl Pool {
+    /// No threads yet; they will be called `name`.
+    pub fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            inner: Arc::default(),
+        }
+    }
+
     /// Runs `job` on a thread of its own.
     ///
     /// # Errors
     /// No further thread can be started; the job is not run.
-    pub(super) fn run(&self, job: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    pub fn run(&self, job: impl FnOnce() + Send + 'static) -> io::Result<()> {
         let mut queue = self.inner.queue.lock().expect("pool");
         if queue.free > queue.jobs.len() {
             queue.jobs.push_back(Box::new(job));
@@ -52,7 +76,7 @@
         let inner = self.inner.clone();
         let first: Job = Box::new(job);
         thread::Builder::new()
-            .name("conn".into())
+            .name(self.name.into())
             .stack_size(STACK)
             .spawn(move || work(&inner, first))
             .map(drop)
