Nothing is placed on the earlier start of a host that announced itself anew

Cause: for 3.5 s after a loss of all hosts the list shows the earlier starts too. Ruled out: a shorter lapse of entries: hosts that are slow would drop out; keys by host in the list: a start would not see that it has succeeded one. Before: live_earlier_start_takes_nothing fails (the list had no numbers). After: passes; without numbers both starts stay, as before.

--- a/src/member/list.rs
+++ b/src/member/list.rs
@@ -17,6 +17,8 @@
     pub peer: Peer,
     /// Its standing when it was last listed.
     pub standing: Standing,
+    /// Number of its last announcement; zero where the list tells none.
+    pub announced: u64,
     /// Start of the first read of the unbroken run of reads that did not show it.
     pub missing: Option<Time>,
 }
@@ -50,6 +52,7 @@
             self.put(Seen {
                 peer: entry.peer.clone(),
                 standing: entry.standing,
+                announced: entry.announced,
                 missing: None,
             });
         }
@@ -118,11 +121,25 @@
         self.unlisted[at].1
     }
 
+    /// Number of the last announcement of each listed host, over all its starts, sorted by host.
+    fn last_announced(&self) -> Vec<(&str, u64)> {
+        let listed = self.hosts.iter().filter(|s| s.missing.is_none());
+        let mut last: Vec<(&str, u64)> = listed
+            .map(|s| (host_of(&s.peer.name), s.announced))
+            .collect();
+        last.sort_unstable_by_key(|(host, at)| (*host, std::cmp::Reverse(*at)));
+        last.dedup_by_key(|(host, _)| *host);
+        last
+    }
+
     /// Names of the hosts that were last listed as live and were not missing before `since`, with
     /// `me`, sorted.
     pub fn fleet(&self, me: &Name, since: Time) -> Vec<Name> {
+        let last = self.last_announced();
         let live = self.hosts.iter().filter(|s| {
-            s.standing == Standing::Live && s.missing.is_none_or(|missing| missing >= since)
+            s.standing == Standing::Live
+                && s.missing.is_none_or(|missing| missing >= since)
+                && !s.is_succeeded(me, &last)
         });
         let mut fleet: Vec<Name> = live.map(|s| s.peer.name.clone()).collect();
         if let Err(at) = fleet.binary_search(me) {
@@ -133,10 +150,12 @@
 
     /// Live hosts with `me`, which the list may not show yet, or without it if it is leaving.
     pub fn live(&self, me: &Peer, leaving: bool) -> Vec<Peer> {
+        let last = self.last_announced();
         let mut live: Vec<Peer> = self
             .hosts
             .iter()
             .filter(|s| s.missing.is_none() && s.standing == Standing::Live)
+            .filter(|s| !s.is_succeeded(&me.name, &last))
             .map(|s| s.peer.clone())
             .filter(|p| p.name != me.name)
             .collect();
@@ -148,6 +167,20 @@
     }
 }
 
+impl Seen {
+    /// Whether a later start of the same host is listed, or is this host `me`: the earlier one has
+    /// ended, though the list shows it until its entry lapses. `last` has the last announcements of
+    /// hosts, sorted.
+    fn is_succeeded(&self, me: &str, last: &[(&str, u64)]) -> bool {
+        let name = &*self.peer.name;
+        if name != me && is_same_host(name, me) {
+            return true;
+        }
+        let found = last.binary_search_by(|(host, _)| (*host).cmp(host_of(name)));
+        self.announced > 0 && found.is_ok_and(|at| last[at].1 > self.announced)
+    }
+}
+
 /// Whether two names, each of one start of a daemon, are of the same host.
 pub fn is_same_host(one: &str, other: &str) -> bool {
     one.contains('.') && host_of(one) == host_of(other)
--- a/src/member/task.rs
+++ b/src/member/task.rs
@@ -75,6 +75,7 @@
     let listed = Listed {
         peer: host.me.clone(),
         standing,
+        announced: 0,
     };
     if host.list.announce(&listed).is_ok() || announce_relayed(host, &listed) {
         *host.members.announced.lock().expect("announced") = Some(began);
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -90,6 +90,9 @@
     pub peer: Peer,
     /// Its standing.
     pub standing: Standing,
+    /// Number of its last announcement, which rises over all hosts; zero where the list tells none.
+    #[serde(default)]
+    pub announced: u64,
 }
 
 /// The platform's list of hosts. It lags.
--- a/tests/batch_mute.rs
+++ b/tests/batch_mute.rs
@@ -27,6 +27,7 @@
             domain: "z".into(),
         },
         standing: Standing::Live,
+        announced: 0,
     });
     server
 }
--- a/tests/member_place.rs
+++ b/tests/member_place.rs
@@ -20,6 +20,7 @@
         .map(|i| Listed {
             peer: peer(*i, 3),
             standing: Standing::Live,
+            announced: 0,
         })
         .collect()
 }
@@ -126,3 +127,53 @@
     assert!(!probes.is_down(&peer.name));
     assert!(probes.due(secs(30)).is_empty());
 }
+
+fn start(name: &str, announced: u64) -> Listed {
+    let peer = Peer {
+        name: name.into(),
+        ..peer(1, 1)
+    };
+    Listed {
+        peer,
+        standing: Standing::Live,
+        announced,
+    }
+}
+
+/// After a loss of power the list shows the earlier start of each host until its entry lapses. Nothing
+/// is placed on it as soon as the later start has announced itself.
+#[test]
+fn live_earlier_start_takes_nothing() {
+    let me = start("host-3.aa", 0).peer;
+    let names = |list: &ListView| -> Vec<String> {
+        let live = list.live(&me, false);
+        live.iter().map(|p| p.name.to_string()).collect()
+    };
+    let mut list = ListView::default();
+    // Random suffixes: the later start may come first by name.
+    let all = [
+        start("host-1.bb", 4),
+        start("host-1.ff", 3),
+        start("host-10.cc", 2),
+        start("host-2.dd", 1),
+        start("host-3.ee", 5),
+    ];
+    list.read(&all, secs(1));
+    assert_eq!(
+        names(&list),
+        ["host-1.bb", "host-10.cc", "host-2.dd", "host-3.aa"]
+    );
+    let fleet = list.fleet(&me.name, secs(0));
+    assert_eq!(fleet.len(), 4, "{fleet:?}");
+    // A later start that is gone again leaves the earlier one as it is listed.
+    list.read(&all[1..], secs(2));
+    assert_eq!(names(&list)[0], "host-1.ff");
+}
+
+/// Where the list does not number announcements, both starts of another host stay.
+#[test]
+fn live_without_numbers_keeps_both_starts() {
+    let mut list = ListView::default();
+    list.read(&[start("host-1.bb", 0), start("host-1.ff", 0)], secs(1));
+    assert_eq!(list.live(&start("host-3.aa", 0).peer, false).len(), 3);
+}
--- a/tests/member_reach.rs
+++ b/tests/member_reach.rs
@@ -44,6 +44,7 @@
     let entry = |i: &usize| Listed {
         peer: peer(*i),
         standing,
+        announced: 0,
     };
     ids.iter().map(entry).collect()
 }
--- a/tests/standin_ends.rs
+++ b/tests/standin_ends.rs
@@ -117,6 +117,7 @@
     let listed = Listed {
         peer,
         standing: Standing::Live,
+        announced: 0,
     };
     wait_for("shown", || {
         list.announce(&listed).expect("announced");
