--- a/tests/fleet/homes.rs
+++ b/tests/fleet/homes.rs
@@ -28,6 +28,7 @@
         let listed = Listed {
             peer: node.peer.clone(),
             standing,
+            announced: 0,
         };
         self.listed
             .insert(node.peer.name.to_string(), (listed, self.now));
