--- a/src/batch/quota.rs
+++ b/src/batch/quota.rs
@@ -88,9 +88,10 @@
     if stream.jobs.view(|s| s.job(&job.id).is_some()) {
         return Ok(None);
     }
-    let own = waiting(stream, &job.workspace, quota);
     let new: u64 = job.asks.iter().map(|a| u64::from(a.tokens)).sum();
+    // Reserved before the look, so that of two jobs at once each sees the other.
     let reserved = stream.pending.add(&job.workspace, new);
+    let own = waiting(stream, &job.workspace, quota).saturating_sub(new);
     let slots = host.batch.streams.slots();
     if is_far_below(own, new, quota.tokens, slots.len()) {
         return Ok(Some(reserved));
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -8,6 +8,10 @@
 
 /// Most servers for one model that one host works with.
 pub const SUBSET: usize = 64;
+/// Servers that an online request is asked for at before it waits.
+const ASKED_ONLINE: usize = 6;
+/// Servers that batch work is asked for at before it waits.
+const ASKED_BATCH: usize = 2;
 /// Load above the mean, in parts of a server, up to which a request goes where its prefix is.
 const AFFINITY_SLACK: f32 = 0.25;
 /// Load that a server in another failure domain must save.
@@ -28,6 +32,18 @@
     pub usable: Use,
 }
 
+/// Servers to ask for a slot before the work waits for one.
+///
+/// Load it answers: a backlog of batch work, every item of which asks around again and again while all
+/// servers are full. An online request is worth the messages; batch work takes the better of two
+/// pairs of servers by their last counts, which is free where there is much room, and else waits.
+pub fn asked(class: Class) -> usize {
+    match class {
+        Class::Online => ASKED_ONLINE,
+        Class::Batch => ASKED_BATCH,
+    }
+}
+
 /// The servers to ask, the best first, `most` at most. Online requests with a `prefix` go where it is
 /// likely to be cached; those without one have nothing to find there, and all hosts would send them to
 /// the same server.
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -10,7 +10,7 @@
 mod state;
 mod wait;
 
-pub use choose::{Candidate, SUBSET, order, rendezvous, subset};
+pub use choose::{Candidate, SUBSET, asked, order, rendezvous, subset};
 pub use dispatch::{Sink, dispatch};
 pub use health::{ASIDE_MAX, ASIDE_MIN, FAILS, Health, Outcome, Use};
 pub use leaving::Departures;
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -1,7 +1,7 @@
 //! What one host knows about the backend servers.
 
 use super::{
-    choose::{Candidate, order, subset},
+    choose::{Candidate, asked, order, subset},
     health::{Health, Outcome, Use},
     leaving::Departures,
 };
@@ -24,8 +24,6 @@
 
 /// Age at which counts from a gate are not used any more.
 const COUNTS_AGE: Duration = Duration::from_secs(1);
-/// Servers that are asked before the request waits.
-const ASKED: usize = 6;
 
 /// Routing state of one host.
 #[derive(Debug)]
@@ -163,7 +161,13 @@
             all.retain(|c| c.usable != Use::Probe);
         }
         let prefix = (!work.prompt.is_empty()).then(|| prefix_hash(&work.prompt));
-        let chosen = order(work.class, prefix, &all, ASKED, &mut rand::rng());
+        let chosen = order(
+            work.class,
+            prefix,
+            &all,
+            asked(work.class),
+            &mut rand::rng(),
+        );
         if chosen.is_empty() {
             let text = "every server that has the model is set aside";
             return Err(Fail::new(Kind::Overloaded, text));
--- a/tests/route_choose.rs
+++ b/tests/route_choose.rs
@@ -1,7 +1,7 @@
 //! Choice of a backend server and its health.
 
 use gooseberrytack::{
-    route::{ASIDE_MIN, Candidate, FAILS, Health, Outcome, SUBSET, Use, order, subset},
+    route::{ASIDE_MIN, Candidate, FAILS, Health, Outcome, SUBSET, Use, asked, order, subset},
     wire::{Class, Name},
 };
 use rand::SeedableRng;
@@ -50,6 +50,24 @@
     assert!(counts.iter().all(|c| (50..200).contains(c)), "{counts:?}");
 }
 
+/// A backlog of batch work before a fleet of which a half is full: an item finds a free slot though it
+/// asks few servers.
+#[test]
+fn order_batch_finds_room_with_few_asks() {
+    let mut rng = rng();
+    let mut all = servers(64);
+    all.iter_mut().step_by(2).for_each(|c| c.spare = 0);
+    let most = asked(Class::Batch);
+    assert!(most < asked(Class::Online));
+    let finds = |rng: &mut ChaCha8Rng| {
+        let chosen = order(Class::Batch, None, &all, most, rng);
+        let is_free = |name: &Name| all.iter().any(|c| c.name == *name && c.spare > 0);
+        chosen.iter().any(is_free)
+    };
+    let found = (0..1000).filter(|_| finds(&mut rng)).count();
+    assert!(found >= 900, "{found} of 1000 found room");
+}
+
 #[test]
 fn order_home_loaded_goes_elsewhere() {
     let (mut all, mut rng) = (servers(12), rng());
