--- a/src/batch/keep.rs
+++ b/src/batch/keep.rs
@@ -23,7 +23,7 @@
 /// Longest wait for one append and its reading.
 const ROUND_LIMIT: Duration = Duration::from_secs(5);
 /// Age of a reading beyond which it proves nothing about other hosts.
-const FRESH: Duration = Duration::from_millis(2000);
+const FRESH: Duration = Duration::from_millis(1500);
 
 inventory::submit! {
     Plugin {
--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -22,7 +22,7 @@
 };
 
 /// How long a read of the log waits for news.
-const READ_WAIT: Duration = Duration::from_secs(1);
+const READ_WAIT: Duration = Duration::from_millis(500);
 /// Pause after a failed read or append.
 pub(super) const PAUSE: Duration = Duration::from_millis(50);
 /// Time after which a record that the log took is read for by itself; a read that waits at the log
