Periodic tasks: the time of a task counts from the end of a run again

Cause: on the shared thread it counted from the beginning of a run. Tasks that look whether so much has passed since their last work (the read of the host list) came a moment too early each second time and did it half as often. Before: task_time_counts_from_end fails. After: passes.

--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -57,8 +57,8 @@
 pub struct Task {
     /// Name.
     pub name: &'static str,
-    /// Time from the beginning of one run to the next, which begins after the first has ended; zero for
-    /// a task that waits for its own events and runs all the time.
+    /// Time from the end of one run to the next; zero for a task that waits for its own events and runs
+    /// all the time.
     pub every: Duration,
     /// One run; short, so that a stop is not held up.
     pub run: fn(&Arc<Host>),
--- a/src/kernel/tasks.rs
+++ b/src/kernel/tasks.rs
@@ -4,24 +4,27 @@
 use crate::{clock::Time, threads::Pool};
 use std::{
     io,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
 
 /// Longest time between two looks at what is due.
-const LOOK: Duration = Duration::from_millis(200);
+const LOOK: Duration = Duration::from_millis(50);
 
-/// A periodic task and when it is due.
+/// A periodic task.
 #[derive(Debug)]
 struct Entry {
     task: &'static Task,
-    due: Time,
-    /// Whether a run has not ended.
-    busy: Arc<AtomicBool>,
+    next: Arc<Mutex<Next>>,
+}
+
+/// When the next run of a task begins.
+#[derive(Debug, Clone, Copy)]
+enum Next {
+    At(Time),
+    /// Some time after the present one has ended.
+    Running,
 }
 
 /// Runs `tasks` until `host` is dead.
@@ -44,60 +47,80 @@
     }
     let entry = |task| Entry {
         task,
-        due: Time::ZERO,
-        busy: Arc::default(),
+        next: Arc::new(Mutex::new(Next::At(Time::ZERO))),
     };
-    let entries = periodic.into_iter().map(entry).collect();
+    let entries: Vec<Entry> = periodic.into_iter().map(entry).collect();
     let host = host.clone();
-    let run = move || run_periodic(&host, entries, &Pool::new("task"));
+    let run = move || run_periodic(&host, &entries, &Pool::new("task"));
     thread::Builder::new()
         .name("tasks".into())
         .spawn(run)
         .map(drop)
 }
 
-fn run_periodic(host: &Arc<Host>, mut entries: Vec<Entry>, pool: &Pool) {
+fn run_periodic(host: &Arc<Host>, entries: &[Entry], pool: &Pool) {
     while !host.is_dead() {
-        for entry in &mut entries {
-            let now = host.now();
-            if entry.due <= now {
-                entry.due = now + entry.task.every;
-                entry.run(host, pool);
-            }
+        for entry in entries.iter().filter(|e| e.is_due(host.now())) {
+            entry.run(host, pool);
         }
-        let next = entries.iter().map(|e| e.due).min();
-        let now = host.now();
-        let span = next.map_or(LOOK, |due| due.saturating_sub(now).min(LOOK));
+        let next = entries.iter().filter_map(Entry::due).min();
+        let span = next.map_or(LOOK, |due| due.saturating_sub(host.now()).min(LOOK));
         host.rest(span);
     }
 }
 
 impl Entry {
-    /// Begins a run, unless the one before has not ended.
+    /// When the next run is due; none while one is under way.
+    fn due(&self) -> Option<Time> {
+        match *self.next.lock().expect("next run") {
+            Next::At(due) => Some(due),
+            Next::Running => None,
+        }
+    }
+
+    fn is_due(&self, now: Time) -> bool {
+        self.due().is_some_and(|due| due <= now)
+    }
+
     fn run(&self, host: &Arc<Host>, pool: &Pool) {
         let task = self.task;
-        if !task.waits {
-            return (task.run)(host);
-        }
-        if self.busy.swap(true, Ordering::Acquire) {
-            return;
-        }
-        let (host, running) = (host.clone(), Running(self.busy.clone()));
-        let started = pool.run(move || {
+        *self.next.lock().expect("next run") = Next::Running;
+        let (host, running) = (host.clone(), Running::new(host, self));
+        let run = move || {
             let _running = running;
             (task.run)(&host);
-        });
-        if let Err(error) = started {
+        };
+        if !task.waits {
+            return run();
+        }
+        // A run that is not begun is dropped, at which the task is due again.
+        if let Err(error) = pool.run(run) {
             tracing::warn!(task = task.name, %error, "task_not_run");
         }
     }
 }
 
-/// A run under way; it has ended when this is dropped, also by a panic.
-struct Running(Arc<AtomicBool>);
+/// A run under way. When it is dropped, also by a panic, the next one is due after the task's time: some
+/// tasks look whether so much has passed since they last did their work.
+struct Running {
+    host: Arc<Host>,
+    every: Duration,
+    next: Arc<Mutex<Next>>,
+}
+
+impl Running {
+    fn new(host: &Arc<Host>, entry: &Entry) -> Self {
+        Self {
+            host: host.clone(),
+            every: entry.task.every,
+            next: entry.next.clone(),
+        }
+    }
+}
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.0.store(false, Ordering::Release);
+        let due = self.host.now() + self.every;
+        *self.next.lock().expect("next run") = Next::At(due);
     }
 }
