Settings: one check of a number's range; the port's thread alone says how long it polls

Found in the read-through: number and decimal had the same check twice, and watch.rs bounded a time that server.rs had bounded already. Behaviour as before.

--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -22,7 +22,8 @@
 
 /// Connections that the kernel keeps until they are accepted.
 const BACKLOG: i32 = 4096;
-/// Longest time between two looks at whether the server was closed.
+/// Longest time between two looks at whether the server was closed and which connections were idle for
+/// too long.
 const LOOK: Duration = Duration::from_secs(1);
 /// How long a connection must be idle before a stop ends it; a caller that sends often is told to
 /// leave by its next answer instead.
--- a/src/http/watch.rs
+++ b/src/http/watch.rs
@@ -13,8 +13,6 @@
 const EVENTS: usize = 256;
 /// Token of the listener; connections have their ids, which begin at zero.
 const LISTENER: Token = Token(usize::MAX);
-/// Longest time between two looks at which connections were idle for too long.
-const LOOK: Duration = Duration::from_secs(1);
 
 /// A connection between two requests.
 #[derive(Debug)]
@@ -135,7 +133,7 @@
     /// # Errors
     /// The system cannot tell.
     pub(super) fn poll(&mut self, watch: &Watch, limit: Duration) -> io::Result<Found> {
-        match self.poll.poll(&mut self.events, Some(limit.min(LOOK))) {
+        match self.poll.poll(&mut self.events, Some(limit)) {
             Err(e) if e.kind() == ErrorKind::Interrupted => return Ok(Found::default()),
             result => result?,
         }
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -2,7 +2,9 @@
 
 use crate::wire::Name;
 use ini::Ini;
-use std::{collections::BTreeSet, fmt, net::SocketAddr, str::FromStr, time::Duration};
+use std::{
+    collections::BTreeSet, fmt, net::SocketAddr, ops::RangeInclusive, str::FromStr, time::Duration,
+};
 
 /// Longest host or failure-domain name in bytes.
 const NAME_MAX: usize = 64;
@@ -74,9 +76,7 @@
     /// A whole number in `min..=max`, `default` if it is not given.
     pub fn number(&mut self, section: &str, key: &str, min: u64, max: u64, default: u64) -> u64 {
         let allowed = format!("a whole number from {min} to {max}");
-        let parsed = self.parse(section, key, &allowed, |v| {
-            v.parse().ok().filter(|n| (min..=max).contains(n))
-        });
+        let parsed = self.within(section, key, &allowed, min..=max);
         parsed.unwrap_or(default)
     }
 
@@ -109,9 +109,7 @@
         default: f64,
     ) -> f64 {
         let allowed = format!("a number from {least} to {most}");
-        let parsed = self.parse(section, key, &allowed, |v| {
-            v.parse().ok().filter(|n| (least..=most).contains(n))
-        });
+        let parsed = self.within(section, key, &allowed, least..=most);
         parsed.unwrap_or(default)
     }
 
@@ -203,6 +201,19 @@
         self.parse(section, key, allowed, parse)
     }
 
+    /// A value in `range`, if there is a valid one.
+    fn within<T: FromStr + PartialOrd>(
+        &mut self,
+        section: &str,
+        key: &str,
+        allowed: &str,
+        range: RangeInclusive<T>,
+    ) -> Option<T> {
+        self.parse(section, key, allowed, |v| {
+            v.parse().ok().filter(|n| range.contains(n))
+        })
+    }
+
     fn parse<T>(
         &mut self,
         section: &str,
