--- a/src/batch/forward.rs
+++ b/src/batch/forward.rs
@@ -72,6 +72,7 @@
     };
     let end = host.now() + host.settings.wait;
     let mut doubt = false;
+    let mut last = None;
     loop {
         for peer in peers(host, slot) {
             let fail = match host.call(peer.addr, &call, order.limit(host)) {
@@ -83,8 +84,18 @@
                 Kind::Unreachable | Kind::NotReady | Kind::Stopping => {}
                 _ => return Err(order.judge(fail, doubt)),
             }
+            last = Some((peer.name, fail));
         }
         if host.now() >= end || host.is_dead() {
+            let (peer, fail) = last.unzip();
+            let error = fail.map(|f: Fail| f.text).unwrap_or_default();
+            tracing::info!(
+                stream = &*slot.name,
+                peer = peer.as_deref().unwrap_or(""),
+                %error,
+                doubt,
+                "no_reader_answers"
+            );
             let text = "no host that reads the job's stream answers; try again";
             return Err(order.judge(Fail::new(Kind::NotReady, text), doubt));
         }
--- a/src/batch/passed.rs
+++ b/src/batch/passed.rs
@@ -77,7 +77,11 @@
         let left = end.saturating_sub(host.now());
         let is_over = from >= run.total || left.is_zero() || host.is_stopping();
         if run.lines.is_empty() && from < run.total && is_stale(host, stream) {
-            let text = "this host is behind the log; whether there are more results is not known";
+            let (at, age) = stream.reading(host.now());
+            let text = format!(
+                "this host is behind the log, last read {age} to {at}; whether there are more \
+                 results is not known"
+            );
             return Err(Fail::new(Kind::NotReady, text));
         }
         if !run.lines.is_empty() || is_over {
--- a/src/batch/serve.rs
+++ b/src/batch/serve.rs
@@ -128,7 +128,10 @@
         if is_fresh {
             Fail::new(Kind::NotFound, format!("no job \"{id}\""))
         } else {
-            let text = format!("job \"{id}\" is not known here, and the log cannot be read");
+            let (at, age) = stream.reading(host.now());
+            let text = format!(
+                "job \"{id}\" is not known here, and the log cannot be read; last read {age} to {at}"
+            );
             Fail::new(Kind::NotReady, text)
         }
     })
--- a/src/batch/stream.rs
+++ b/src/batch/stream.rs
@@ -288,6 +288,16 @@
         self.scheduler().open();
     }
 
+    /// Offset up to which the stream was read, and how long ago it was read to its head.
+    pub(super) fn reading(&self, now: Time) -> (u64, String) {
+        let progress = self.jobs.progress();
+        let age = match progress.fresh {
+            Some(fresh) => format!("{} ms ago", now.saturating_sub(fresh).as_millis()),
+            None => "never".into(),
+        };
+        (progress.next, age)
+    }
+
     /// Waits until every record up to the position `at` was applied, `limit` at most.
     pub(super) fn reached(&self, at: Pos, limit: Duration) -> bool {
         at == 0 || self.jobs.wait_taken(at, limit)
