A job that was ended is answered at once by any host that knows its end

What callers saw: reading the results of a job that was ended before an item finished took the whole wait, and ended as 503 at a host that had not read the log for 0.8 s. Cause: only listed results ended the wait; that none can follow the end of a job was not considered. Change: a job's end makes its list whole: it is answered without a wait and whatever the age of the reading. Why it works: the fold drops every outcome that comes after the end, so the list cannot grow.

--- a/src/batch/passed.rs
+++ b/src/batch/passed.rs
@@ -70,30 +70,43 @@
 ) -> Res<Run> {
     let end = host.now() + wait;
     loop {
-        catch_up(host, stream);
         let next = stream.jobs.progress().next;
-        let (job, at) = find(host, stream, which)?;
-        let run = serve::finished(&job, at, from);
-        let left = end.saturating_sub(host.now());
-        let is_over = from >= run.total || left.is_zero() || host.is_stopping();
-        if run.lines.is_empty() && from < run.total && is_stale(host, stream) {
-            let (at, age) = stream.reading(host.now());
-            let text = format!(
-                "this host is behind the log, last read {age} to {at}; whether there are more \
-                 results is not known"
-            );
-            return Err(Fail::new(Kind::NotReady, text));
+        let (mut run, mut is_whole) = look(host, stream, which, from)?;
+        if run.lines.is_empty() && !is_whole && is_stale(host, stream) {
+            catch_up(host, stream);
+            (run, is_whole) = look(host, stream, which, from)?;
+            if run.lines.is_empty() && !is_whole && is_stale(host, stream) {
+                return Err(behind(host, stream));
+            }
         }
-        if !run.lines.is_empty() || is_over {
+        let left = end.saturating_sub(host.now());
+        if !run.lines.is_empty() || is_whole || left.is_zero() || host.is_stopping() {
             return Ok(run);
         }
         stream.jobs.wait_moved(next, left);
     }
 }
 
-/// Reads the log without waiting where this host is behind it and can reach it.
+/// The results from the position `from` on, and whether no more can come than are listed.
+fn look(host: &Host, stream: &Stream, which: &Which, from: usize) -> Res<(Run, bool)> {
+    let (job, at) = find(host, stream, which)?;
+    let run = serve::finished(&job, at, from);
+    let is_whole = from >= run.total || job.ended.is_some();
+    Ok((run, is_whole))
+}
+
+fn behind(host: &Host, stream: &Stream) -> Fail {
+    let (at, age) = stream.reading(host.now());
+    let text = format!(
+        "this host is behind the log, last read {age} to {at}; whether there are more results is \
+         not known"
+    );
+    Fail::new(Kind::NotReady, text)
+}
+
+/// Reads the log without waiting where this host can reach it.
 fn catch_up(host: &Host, stream: &Stream) {
-    if !host.relay.is_lost() && is_stale(host, stream) {
+    if !host.relay.is_lost() {
         stream.jobs.read_now();
     }
 }
