--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -23,8 +23,10 @@
 
 /// How long a read of the log waits for news.
 const READ_WAIT: Duration = Duration::from_millis(500);
-/// Pause after a failed read or append.
+/// Pause after a failed read or append; twice as long after each further read that fails.
 pub(super) const PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause after a failed read.
+const PAUSE_MAX: Duration = Duration::from_millis(400);
 /// Time after which a record that the log took is read for by itself; a read that waits at the log
 /// hears of a new record within some 10 ms.
 const NUDGE: Duration = Duration::from_millis(30);
@@ -230,12 +232,17 @@
 
     fn read_all(&self) {
         let mut is_cold = true;
+        let mut pause = PAUSE;
         while !self.stopped.load(Ordering::Relaxed) {
             if self.read_once(is_cold).is_ok() {
                 is_cold = false;
+                pause = PAUSE;
             } else {
                 self.progress.lock().expect("progress").down = true;
-                self.clock.sleep(PAUSE);
+                // Hosts that failed together do not come back together.
+                self.clock
+                    .sleep(pause.mul_f64(rand::random_range(0.5..1.0)));
+                pause = (pause * 2).min(PAUSE_MAX);
             }
         }
     }
