One caller of a host reads a stream for all that ask meanwhile

Cause: each request for a job that the host does not know reads the stream itself. While the store was short of reads, requests that came and came again added to them. Change: a read that began after a caller asked serves that caller, whatever came of it. Before: tests/fold_read fails with 9 reads at once; after: 1. fold_settle 4 of 4.

--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -41,6 +41,8 @@
     pub(super) clock: C,
     state: RwLock<F>,
     progress: Mutex<Progress>,
+    /// Start of the last read without a wait for news; held while it goes on.
+    asked: Mutex<Option<Time>>,
     /// Held while the state is moved on, so that a page and a whole state do not interleave.
     step: Mutex<()>,
     moved: Condvar,
@@ -77,6 +79,7 @@
             clock,
             state: RwLock::default(),
             progress: Mutex::default(),
+            asked: Mutex::default(),
             step: Mutex::default(),
             moved: Condvar::new(),
             queue: Mutex::default(),
@@ -165,9 +168,16 @@
         }
     }
 
-    /// Applies what the log has at this time, without waiting for news.
+    /// Applies what the log has at this time, without waiting for news. One caller reads for all that ask
+    /// meanwhile.
     pub fn read_now(&self) {
+        let asked = self.clock.now();
+        let mut last = self.asked.lock().expect("last read");
+        if last.is_some_and(|began| began >= asked) {
+            return;
+        }
         let began = self.clock.now();
+        *last = Some(began);
         let next = self.progress().next;
         match self.log.read(&self.stream, next, Duration::ZERO) {
             Ok(page) => {
