--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -316,7 +316,7 @@
         let mut progress = self.progress.lock().expect("progress");
         progress.next = next;
         progress.first = page.first;
-        progress.down = false;
+        progress.down &= !page.is_known();
         if next >= page.head {
             progress.fresh = progress.fresh.max(Some(began));
         }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -23,12 +23,22 @@
 pub struct Page {
     /// Oldest offset that is still kept.
     pub first: u64,
-    /// Offset that the next append gets.
+    /// Offset that the next append gets; `UNKNOWN_HEAD` if that is not known.
     pub head: u64,
     /// Records in order, from the offset asked for or from `first`, whichever is higher.
     pub entries: Vec<Entry>,
 }
 
+impl Page {
+    /// Head of a page that does not tell how far the stream goes.
+    pub const UNKNOWN_HEAD: u64 = u64::MAX;
+
+    /// Whether the page tells how far the stream goes.
+    pub fn is_known(&self) -> bool {
+        self.head != Self::UNKNOWN_HEAD
+    }
+}
+
 /// Why an append gave no offset.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum AppendError {
