Interim answers without end no longer end the process

Seen by callers: a server that sends interim heads (1xx) without end overflowed the stack of the thread that reads its answer, and with it the host ended. Cause: each interim head in the buffer was skipped by a recursive call with a table of 64 fields, some 480 deep for 8 KB; nothing bounded their number. Change: they are skipped in a loop, and the bytes of all heads of an answer count towards the limit of 32 KB. Evidence: interim_endless_is_broken overflowed a stack of 512 KB (the size of a host's threads) before and passes now.

--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -13,7 +13,7 @@
 
 /// Bytes read at once.
 const READ_SIZE: usize = 8 * 1024;
-/// Longest head of an answer in bytes.
+/// Most bytes before the body of an answer, interim answers included.
 const HEAD_MAX: usize = 32 * 1024;
 /// Most header fields in an answer.
 const FIELDS_MAX: usize = 64;
@@ -26,6 +26,8 @@
 pub struct Conn {
     stream: Arc<TcpStream>,
     buffer: Vec<u8>,
+    /// Bytes of interim answers that were taken off the buffer.
+    interim: usize,
     body: Option<Body>,
 }
 
@@ -50,6 +52,7 @@
         Ok(Self {
             stream: Arc::new(stream),
             buffer: Vec::new(),
+            interim: 0,
             body: None,
         })
     }
@@ -137,31 +140,43 @@
     }
 
     fn parse_head(&mut self) -> Result<Option<Head>, ReadError> {
-        let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
-        let mut parsed = httparse::Response::new(&mut fields);
-        let size = match parsed.parse(&self.buffer) {
-            Ok(httparse::Status::Complete(size)) => size,
-            Ok(httparse::Status::Partial) if self.buffer.len() <= HEAD_MAX => return Ok(None),
-            Ok(httparse::Status::Partial) => return Err(broken("the answer's head is too long")),
-            Err(e) => return Err(broken(&format!("not an HTTP answer: {e}"))),
-        };
-        let named = parsed.headers.iter().map(|f| {
-            let value = String::from_utf8_lossy(f.value).trim().to_string();
-            (f.name.to_ascii_lowercase(), value)
-        });
-        let head = Head {
-            status: parsed.code.unwrap_or(0),
-            fields: named.collect(),
-        };
-        self.buffer.drain(..size);
-        if (100..200).contains(&head.status) {
-            return self.parse_head();
+        loop {
+            let Some((head, size)) = parse(&self.buffer)? else {
+                return match self.interim + self.buffer.len() > HEAD_MAX {
+                    true => Err(broken("the answer's head is too long")),
+                    false => Ok(None),
+                };
+            };
+            self.buffer.drain(..size);
+            if !(100..200).contains(&head.status) {
+                self.body = Some(Body::new(framing(&head)?));
+                return Ok(Some(head));
+            }
+            self.interim += size;
         }
-        self.body = Some(Body::new(framing(&head)?));
-        Ok(Some(head))
     }
 }
 
+/// The head at the start of `bytes` and its length in bytes, if all of it is there.
+fn parse(bytes: &[u8]) -> Result<Option<(Head, usize)>, ReadError> {
+    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+    let mut parsed = httparse::Response::new(&mut fields);
+    let size = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(size)) => size,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(e) => return Err(broken(&format!("not an HTTP answer: {e}"))),
+    };
+    let named = parsed.headers.iter().map(|f| {
+        let value = String::from_utf8_lossy(f.value).trim().to_string();
+        (f.name.to_ascii_lowercase(), value)
+    });
+    let head = Head {
+        status: parsed.code.unwrap_or(0),
+        fields: named.collect(),
+    };
+    Ok(Some((head, size)))
+}
+
 impl Drop for Conn {
     fn drop(&mut self) {
         let _ = self.stream.shutdown(Shutdown::Both);
