A look for an answer's head ends in its time although bytes trickle in

Seen by callers: while a server's head came byte by byte, the deadline of the request and a caller that left were not noticed until 32 KB had come (9 s in the test). Cause: each read waited for 1 ms at least, also when the time of the look was over. Change: the look ends then. Evidence: head_slow_look_ends failed at its first run and passes (three runs).

--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -84,6 +84,10 @@
                 return Ok(head);
             }
             let left = end.saturating_duration_since(Instant::now());
+            // Bytes that trickle in leave the caller time for another look at its deadline.
+            if left.is_zero() {
+                return Err(ReadError::Quiet);
+            }
             if self.fill(left)? == 0 {
                 return Err(broken("the connection ended before the answer"));
             }
