Fields after the last chunk of an answer are bounded to 8 KB

Seen by callers: an answer that went on with trailer fields without end was read until the deadline of the request. Cause: only the length of one line was bounded. Change: all of them share 8 KB; one byte more is a broken answer. Evidence: trailers_endless_are_broken failed before and passes now; the property tests of pass_answers pass.

--- a/src/pass/body.rs
+++ b/src/pass/body.rs
@@ -2,6 +2,8 @@
 
 /// Longest line with the size of a chunk in bytes.
 const SIZE_LINE: usize = 256;
+/// Most bytes of fields after the last chunk.
+const TRAILER_MAX: usize = 8 * 1024;
 
 /// How the end of a body is found (RFC 9112, section 6.3).
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,8 +32,8 @@
     Chunk(u64),
     /// In the line end after a chunk, with so many bytes left.
     After(u8),
-    /// In the lines after the zero chunk.
-    Trailer(Vec<u8>),
+    /// In a line after the zero chunk, with so many bytes left for all of them.
+    Trailer(Vec<u8>, usize),
     Done,
 }
 
@@ -121,18 +123,19 @@
                 let (used, is_line) = take_line(line, bytes)?;
                 if is_line {
                     self.state = match chunk_size(line)? {
-                        0 => State::Trailer(Vec::new()),
+                        0 => State::Trailer(Vec::new(), TRAILER_MAX),
                         n => State::Chunk(n),
                     };
                 }
                 Ok(used)
             }
-            State::Trailer(line) => {
+            State::Trailer(line, left) => {
                 let (used, is_line) = take_line(line, bytes)?;
+                *left = left.checked_sub(used).ok_or(BadChunk)?;
                 if is_line {
                     self.state = match line.is_empty() {
                         true => State::Done,
-                        false => State::Trailer(Vec::new()),
+                        false => State::Trailer(Vec::new(), *left),
                     };
                 }
                 Ok(used)
