An answer that is no event stream is bounded as it arrives

Seen by callers: an answer of endless one-byte chunks held its request until 16 MB of body and 100 MB of bytes had come; its framing counted as progress, so that a request that may be repeated did not go on elsewhere before. Change: 4 MB of body (was 16 MB; a host has 88 MB and reads several at once) and 8 MB of bytes at most; only bytes of the body are progress.

--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -28,6 +28,8 @@
     buffer: Vec<u8>,
     /// Bytes of interim answers that were taken off the buffer.
     interim: usize,
+    /// Bytes that arrived.
+    taken: u64,
     body: Option<Body>,
 }
 
@@ -53,6 +55,7 @@
             stream: Arc::new(stream),
             buffer: Vec::new(),
             interim: 0,
+            taken: 0,
             body: None,
         })
     }
@@ -62,6 +65,11 @@
         self.stream.clone()
     }
 
+    /// Bytes of the answer that arrived, its head and the framing of its body included.
+    pub fn taken(&self) -> u64 {
+        self.taken
+    }
+
     /// Sends a whole request.
     ///
     /// # Errors
@@ -132,6 +140,7 @@
         match read {
             Ok(n) => {
                 self.buffer.extend_from_slice(&piece[..n]);
+                self.taken += n as u64;
                 Ok(n)
             }
             Err(e) => match e.kind() {
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -22,7 +22,9 @@
 /// after two seconds of silence, so that there is time for another server.
 const SILENCE: Duration = Duration::from_millis(800);
 /// Longest body of an answer that is no event stream, in bytes.
-const WHOLE_MAX: usize = 16 << 20;
+const WHOLE_MAX: usize = 4 << 20;
+/// Most bytes of such an answer as it arrives, its head and framing included.
+const WHOLE_TAKEN_MAX: u64 = 8 << 20;
 
 impl<S: Sink> Run<'_, S> {
     /// Passes `request` to the slot's server, from the event after the last one passed back.
@@ -160,16 +162,19 @@
         entered: &Entered<'_>,
     ) -> Result<Answer, Stop> {
         let mut body = Vec::new();
-        let mut since = self.host.now();
+        let (mut size, mut since) = (0, self.host.now());
         loop {
             let read = conn.read(POLL, &mut body);
             match self.arrived(read, since, entered)? {
                 Some(false) => break,
-                Some(true) if body.len() > WHOLE_MAX => {
+                Some(true) if body.len() > WHOLE_MAX || conn.taken() > WHOLE_TAKEN_MAX => {
                     return Err(broken("the answer is too long"));
                 }
                 Some(true) => {
-                    since = self.host.now();
+                    // Framing alone is no progress.
+                    if body.len() > size {
+                        (size, since) = (body.len(), self.host.now());
+                    }
                     self.go_on(since)?;
                 }
                 None => {}
