--- /dev/null
+++ b/tests/http_endless.rs
@@ -0,0 +1,112 @@
+//! The client ends a call whose answer never ends, after a bounded number of bytes.
+
+use gooseberrytack::http::{Client, Timeouts};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+/// Longest time of a call; a test that reaches it has failed.
+const LIMITS: Timeouts = Timeouts {
+    connect: Duration::from_secs(30),
+    quiet: Duration::from_secs(30),
+    total: Duration::from_secs(30),
+};
+/// Most bytes that a call may take, with those that wait in the sockets.
+const MOST: usize = 48 << 20;
+/// Bytes after which a server gives up.
+const GIVE_UP: usize = 512 << 20;
+/// Bytes written at once, at least.
+const WRITE_SIZE: usize = 4 * 1024;
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// What comes first, and what is repeated without end.
+const KINDS: [(&str, &str, &str); 12] = [
+    ("bytes", "", "x"),
+    ("status line", "HTTP/1.1 200 OK", "x"),
+    ("field", "HTTP/1.1 200 OK\r\nf: ", "x"),
+    ("fields", "HTTP/1.1 200 OK\r\n", "f: x\r\n"),
+    ("interim answers", "", "HTTP/1.1 103 C\r\n\r\n"),
+    ("continue answers", "", "HTTP/1.1 100 C\r\n\r\n"),
+    ("empty lines", "", "\r\n"),
+    ("chunks", CHUNKED, "1\r\nx\r\n"),
+    ("size line", CHUNKED, "0"),
+    (
+        "chunk extension",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;",
+        "x",
+    ),
+    (
+        "trailers",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+        "f: x\r\n",
+    ),
+    ("no length", "HTTP/1.1 200 OK\r\n\r\n", "x"),
+];
+
+/// A server that answers with `first` and then `again` without end; its address and the bytes that it
+/// could send.
+fn start(first: &'static str, again: &'static str) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
+    let addr = listener.local_addr().expect("address");
+    let sent: Arc<AtomicUsize> = Arc::default();
+    let count = sent.clone();
+    thread::spawn(move || {
+        for conn in listener.incoming().flatten() {
+            let count = count.clone();
+            thread::spawn(move || answer(conn, first, again, &count));
+        }
+    });
+    (addr, sent)
+}
+
+fn answer(mut conn: TcpStream, first: &str, again: &str, sent: &AtomicUsize) {
+    let mut piece = [0; WRITE_SIZE];
+    if !matches!(conn.read(&mut piece), Ok(n) if n > 0) {
+        return;
+    }
+    let again = again.repeat(WRITE_SIZE.div_ceil(again.len()));
+    let _ = conn.write_all(first.as_bytes());
+    while sent.load(Ordering::Relaxed) < GIVE_UP {
+        match conn.write(again.as_bytes()) {
+            Ok(size) => sent.fetch_add(size, Ordering::Relaxed),
+            Err(_) => return,
+        };
+    }
+}
+
+#[test]
+fn call_endless_is_cut() {
+    for (kind, first, again) in KINDS {
+        let (addr, sent) = start(first, again);
+        let url = format!("http://{addr}/a");
+        let client = Client::new();
+        let result = client.call("GET", &url, &[], &[], LIMITS);
+        drop(client);
+        let error = result.expect_err(kind);
+        assert!(error.sent, "{kind}: {error:?}");
+        let sent = sent.load(Ordering::Relaxed);
+        assert!(sent < MOST, "{kind}: {sent} bytes, {error:?}");
+    }
+}
+
+#[test]
+fn stream_endless_is_cut() {
+    for (kind, first, again) in KINDS {
+        let (addr, sent) = start(first, again);
+        let url = format!("http://{addr}/a");
+        let stream = Client::new().stream("GET", &url, &[], &[], LIMITS);
+        if let Ok(mut stream) = stream {
+            stream.line(64).expect_err(kind);
+        }
+        let sent = sent.load(Ordering::Relaxed);
+        assert!(sent < MOST, "{kind}: {sent} bytes");
+    }
+}
