Bytes between events reach no caller unless events go on

Seen by callers: comments, events without id and data and lines that are no fields, which a faulty server sent without end, were passed on for 0.8 s or, on routes that may not be resumed, until the deadline; each added a line feed to the text of a batch item, whose result then was another than the server's. Ids that are no numbers counted as none, and an item's text had no bound. Change: events with nothing for the caller wait for the next event or the end of the answer, 16 KB at most; more is a broken answer. So is an id that is no number, an event without id after one with an id, an event above 64 KB (was 1 MB; a host has 88 MB) and an item's text above 1 MB, the size of a page of results. A whole answer is passed back byte for byte as before.

--- a/src/pass/events.rs
+++ b/src/pass/events.rs
@@ -1,7 +1,7 @@
 //! Cuts the body of an event stream into events (HTML standard, section 9.2).
 
 /// Longest event in bytes.
-const EVENT_MAX: usize = 1 << 20;
+const EVENT_MAX: usize = 64 * 1024;
 
 /// A whole event.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -14,13 +14,20 @@
     pub raw: Vec<u8>,
 }
 
+impl Event {
+    /// Whether it has nothing for the receiver, as a comment.
+    pub fn is_empty(&self) -> bool {
+        self.id.is_none() && self.data.is_empty()
+    }
+}
+
 /// Bytes of an event stream that are not an event yet.
 #[derive(Debug, Clone, Default)]
 pub struct Events {
     buffer: Vec<u8>,
 }
 
-/// The stream has an event that is too long or is not UTF-8.
+/// The stream has an event that is too long, is not UTF-8 or has an id that is no number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BadEvent;
 
@@ -73,7 +80,7 @@
         let (name, value) = line.split_once(':').unwrap_or((line, ""));
         let value = value.strip_prefix(' ').unwrap_or(value);
         match name {
-            "id" => id = value.parse().ok(),
+            "id" => id = Some(value.parse().map_err(|_| BadEvent)?),
             "data" => data.push(value),
             _ => {}
         }
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -25,6 +25,10 @@
 const WHOLE_MAX: usize = 4 << 20;
 /// Most bytes of such an answer as it arrives, its head and framing included.
 const WHOLE_TAKEN_MAX: u64 = 8 << 20;
+/// Most bytes of events without id and data between two others.
+const EMPTY_MAX: usize = 16 * 1024;
+/// Longest text of a batch item in bytes: a page of results.
+const TEXT_MAX: usize = 1 << 20;
 
 impl<S: Sink> Run<'_, S> {
     /// Passes `request` to the slot's server, from the event after the last one passed back.
@@ -96,6 +100,8 @@
         entered: &Entered<'_>,
     ) -> Result<Answer, Stop> {
         let mut events = Events::default();
+        // Events with nothing for the caller; they may turn out to be no part of the answer.
+        let mut empty = Vec::new();
         let mut since = self.host.now();
         loop {
             let read = conn.read(POLL, events.buffer());
@@ -103,16 +109,27 @@
                 continue;
             };
             let mut moved = false;
-            while let Some(event) = events
+            while let Some(mut event) = events
                 .pop()
                 .map_err(|_| broken("an event of the answer is not valid"))?
             {
+                if event.is_empty() {
+                    empty.append(&mut event.raw);
+                    if empty.len() > EMPTY_MAX {
+                        return Err(broken("the answer has no more events"));
+                    }
+                    continue;
+                }
                 if attempt.first.is_none() {
                     attempt.first = Some(self.host.now());
                     let timeline = &self.host.timeline;
                     timeline.note(Happening::FirstToken, &slot.id, None, &slot.server);
                 }
-                moved |= event.id.is_some() || !event.data.is_empty();
+                moved = true;
+                if !empty.is_empty() {
+                    empty.append(&mut event.raw);
+                    event.raw = std::mem::take(&mut empty);
+                }
                 self.pass_event(head, &event)?;
             }
             // Bytes that never become an event are no progress, and neither are comments.
@@ -127,6 +144,14 @@
                     return Err(self.lost(text, entered.is_ended()));
                 }
                 self.sink.begin(head).map_err(Stop::Unwanted)?;
+                if !empty.is_empty() {
+                    let event = Event {
+                        id: None,
+                        data: String::new(),
+                        raw: empty,
+                    };
+                    self.sink.event(&event).map_err(Stop::Unwanted)?;
+                }
                 return Ok(self.answer(slot));
             }
         }
@@ -140,12 +165,21 @@
                 return Err(broken(&text));
             }
             self.pos = id;
+        } else if self.pos > 0 {
+            let text = format!("an event without id came after event {}", self.pos);
+            return Err(broken(&text));
         }
         if self.work.class == Class::Batch {
             if !self.text.is_empty() {
                 self.text.push('\n');
             }
             self.text += &event.data;
+            if self.text.len() > TEXT_MAX {
+                // Another server begins anew.
+                self.text.clear();
+                self.pos = self.work.request.as_ref().map_or(0, |r| r.after);
+                return Err(broken("the text of the item is too long"));
+            }
         }
         self.sink
             .begin(head)
