Answers to a host's own calls are bounded in bytes, whatever they are

Cause: the client bounded the body of an answer to 256 MB, of a host that has 88 MB, and read interim answers until the time of the call ended.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,6 +1,6 @@
 //! The client, on `ureq`.
 
-use super::{filter::Filter, resolver::IpResolver};
+use super::{bounded::BoundedConnector, filter::Filter, resolver::IpResolver};
 use std::{
     fmt,
     io::{self, BufRead, BufReader, Read},
@@ -12,7 +12,7 @@
     Agent, Body, BodyReader,
     config::{AutoHeaderValue, Config},
     http::Response,
-    unversioned::transport::DefaultConnector,
+    unversioned::transport::{Connector, DefaultConnector},
 };
 
 /// Buffer for each direction of a connection in bytes. The library's default is 128 KB.
@@ -23,8 +23,8 @@
 const ALL_IDLE: usize = 512;
 /// Longest time that an idle connection is kept; shorter than any server's.
 const IDLE_AGE: Duration = Duration::from_secs(15);
-/// Most bytes in a whole reply.
-const REPLY_MAX: u64 = 256 * 1024 * 1024;
+/// Most bytes in an answer, where nothing else is said.
+const REPLY_MAX: u64 = 64 << 20;
 
 /// Time limits of one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,6 +55,8 @@
     pooled: Agent,
     fresh: Agent,
     filter: Arc<Filter>,
+    /// Most bytes in an answer.
+    reply: u64,
 }
 
 /// A whole answer.
@@ -103,10 +105,16 @@
 impl Client {
     /// A client without connections.
     pub fn new() -> Self {
+        Self::bounded(REPLY_MAX)
+    }
+
+    /// A client that takes `reply` bytes of an answer at most, its head and framing included.
+    pub fn bounded(reply: u64) -> Self {
         Self {
-            pooled: agent(IDLE_CONNS),
-            fresh: agent(0),
+            pooled: agent(IDLE_CONNS, reply),
+            fresh: agent(0, reply),
             filter: Arc::default(),
+            reply,
         }
     }
 
@@ -167,7 +175,8 @@
         limits: Timeouts,
     ) -> Result<Reply, SendError> {
         let addr = self.filter.pass(url, limits.connect)?;
-        let reply = read_reply(run(agent, method, url, fields, body, limits)?)?;
+        let response = run(agent, method, url, fields, body, limits)?;
+        let reply = read_reply(response, self.reply)?;
         self.filter.arrive(addr)?;
         Ok(reply)
     }
@@ -243,7 +252,7 @@
 
 /// An agent that keeps `idle` connections for each address. One that keeps some is for short
 /// messages and sends no header fields of its own beyond those that HTTP asks for.
-fn agent(idle: usize) -> Agent {
+fn agent(idle: usize, reply: u64) -> Agent {
     let product = if idle == 0 {
         AutoHeaderValue::Provided(Arc::new("gooseberrytack".into()))
     } else {
@@ -261,7 +270,8 @@
         .user_agent(product)
         .accept(AutoHeaderValue::None)
         .build();
-    Agent::with_parts(config, DefaultConnector::new(), IpResolver)
+    let connector = DefaultConnector::new().chain(BoundedConnector { limit: reply });
+    Agent::with_parts(config, connector, IpResolver)
 }
 
 fn run(
@@ -312,7 +322,7 @@
         .build()
 }
 
-fn read_reply(response: Response<Body>) -> Result<Reply, SendError> {
+fn read_reply(response: Response<Body>, limit: u64) -> Result<Reply, SendError> {
     let status = response.status().as_u16();
     let fields = response
         .headers()
@@ -322,7 +332,7 @@
     let body = response
         .into_body()
         .into_with_config()
-        .limit(REPLY_MAX)
+        .limit(limit)
         .read_to_vec()
         .map_err(|e| SendError {
             sent: true,
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -144,7 +144,7 @@
         edges: impl FnOnce(&Client) -> Edges,
     ) -> io::Result<Arc<Self>> {
         let clock = SystemClock::new();
-        let client = Client::new();
+        let client = Client::bounded(settings.reply);
         let Edges { log, list, outside } = edges(&client);
         let face = outside.map(|o| o.face);
         let peer_bounds = Bounds {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -61,6 +61,8 @@
     pub retention: Duration,
     /// Most requests of one host that wait for a slot of a backend server.
     pub waiting: usize,
+    /// Most bytes of an answer of the platform or another host.
+    pub reply: u64,
     /// Longest silence of a backend server before it counts as lost.
     pub quiet: Duration,
     /// Retries allowed for each hundred requests.
@@ -127,6 +129,7 @@
             snapshot: r.millis("log", "snapshot_ms", 100, 86_400_000, 300_000),
             retention: r.millis("batch", "retention_ms", 1_000, 31_536_000_000, 604_800_000),
             waiting: r.number("limits", "waiting", 1, 1_000_000, 2_000) as usize,
+            reply: r.number("limits", "reply_bytes", 1 << 20, 1 << 30, 64 << 20),
             quiet: r.millis("limits", "quiet_ms", 100, 600_000, 5_000),
             retries: r.number("limits", "retries_percent", 0, 100, 10),
             own: r.number("limits", "own_percent", 0, 90, 0) as u32,
--- a/tests/http_endless.rs
+++ b/tests/http_endless.rs
@@ -1,6 +1,6 @@
 //! The client ends a call whose answer never ends, after a bounded number of bytes.
 
-use gooseberrytack::http::{Client, Timeouts};
+use gooseberrytack::http::{Bounds, Client, Server, Timeouts};
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
@@ -19,7 +19,9 @@
     total: Duration::from_secs(30),
 };
 /// Most bytes that a call may take, with those that wait in the sockets.
-const MOST: usize = 48 << 20;
+const MOST: usize = 16 << 20;
+/// Bytes of an answer that the client takes.
+const REPLY: u64 = 4 << 20;
 /// Bytes after which a server gives up.
 const GIVE_UP: usize = 512 << 20;
 /// Bytes written at once, at least.
@@ -87,7 +89,7 @@
     for (kind, first, again) in KINDS {
         let (addr, sent) = start(first, again);
         let url = format!("http://{addr}/a");
-        let client = Client::new();
+        let client = Client::bounded(REPLY);
         let result = client.call("GET", &url, &[], &[], LIMITS);
         drop(client);
         let error = result.expect_err(kind);
@@ -102,7 +104,7 @@
     for (kind, first, again) in KINDS {
         let (addr, sent) = start(first, again);
         let url = format!("http://{addr}/a");
-        let stream = Client::new().stream("GET", &url, &[], &[], LIMITS);
+        let stream = Client::bounded(REPLY).stream("GET", &url, &[], &[], LIMITS);
         if let Ok(mut stream) = stream {
             stream.line(64).expect_err(kind);
         }
@@ -110,3 +112,24 @@
         assert!(sent < MOST, "{kind}: {sent} bytes");
     }
 }
+
+/// Answers on one connection are bounded each, not together.
+#[test]
+fn answers_in_turn_have_room_each() {
+    let addr = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = Server::start(addr, Bounds::default(), |exchange| {
+        let _ = exchange.send(200, "text/plain", &[b'x'; 700]);
+    });
+    let server = server.expect("free port");
+    let url = format!("http://{}/a", server.addr());
+    let client = Client::bounded(1000);
+    for _ in 0..5 {
+        let reply = client
+            .call("GET", &url, &[], &[], LIMITS)
+            .expect("answered");
+        assert_eq!(reply.body.len(), 700);
+    }
+    let client = Client::bounded(700);
+    let error = client.call("GET", &url, &[], &[], LIMITS);
+    assert!(error.expect_err("too long").sent);
+}
