A log line says which answer was cut, after how many bytes and why

'answer_cut' with the attempt's id, the server, the bytes and the cause; before, only the code of the error was in the time line, and only where the request went on or ended.

--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -8,7 +8,7 @@
     clock::Time,
     error::{Fail, Kind},
     gate::Slot,
-    pass::{Conn, Entered, Event, Events, Head, ReadError, Request, Sending, Verdict},
+    pass::{Conn, Dialect, Entered, Event, Events, Head, ReadError, Request, Sending, Verdict},
     timeline::Happening,
     wire::{Answer, Class},
 };
@@ -58,11 +58,34 @@
         };
         let fields = (dialect.fields)(&sending);
         self.sent += 1;
-        conn.send(&head_text(request, &fields), &request.body)
-            .map_err(|e| self.lost(&format!("the request was cut: {e}"), entered.is_ended()))?;
+        let result = match conn.send(&head_text(request, &fields), &request.body) {
+            Ok(()) => self.answered(slot, attempt, request, dialect, &mut conn, &entered),
+            Err(e) => Err(self.lost(&format!("the request was cut: {e}"), entered.is_ended())),
+        };
+        if let Err(Stop::Failed(fail)) = &result
+            && matches!(fail.kind, Kind::BrokenAnswer | Kind::ServerLost)
+        {
+            let (id, server) = (&*slot.id, &*slot.server);
+            let bytes = conn.taken();
+            tracing::info!(id, server, bytes, cause = &*fail.text, "answer_cut");
+        }
+        result
+    }
+
+    /// Reads the answer and passes it back.
+    fn answered(
+        &mut self,
+        slot: &Slot,
+        attempt: &mut Try,
+        request: &Request,
+        dialect: &Dialect,
+        conn: &mut Conn,
+        entered: &Entered<'_>,
+    ) -> Result<Answer, Stop> {
+        let host = self.host;
         let since = host.now();
         let head = loop {
-            if let Some(head) = self.arrived(conn.head(POLL), since, &entered)? {
+            if let Some(head) = self.arrived(conn.head(POLL), since, entered)? {
                 break head;
             }
         };
@@ -86,9 +109,9 @@
             .field("content-type")
             .is_some_and(|t| t.starts_with("text/event-stream"));
         if head.status == 200 && is_stream {
-            return self.events(slot, attempt, &mut conn, &head, &entered);
+            return self.events(slot, attempt, conn, &head, entered);
         }
-        self.whole(slot, &mut conn, &head, &entered)
+        self.whole(slot, conn, &head, entered)
     }
 
     fn events(
