Whole answers share 8 MB of a host's memory

A host has 88 MB, and each answer that is no event stream may have 4 MB of body (and twice that of room) before it is passed back. Many of them at once that never end would take more than it has. Answers up to 64 KB always have room; a larger one beside too many others is a broken answer. Test: held_answers_share_room.

--- a/src/pass/mod.rs
+++ b/src/pass/mod.rs
@@ -14,7 +14,7 @@
 pub use conn::{Conn, ReadError};
 pub use events::{Event, Events};
 pub use forward::{Arrival, ELSEWHERE, Entry, caller, enter, fail, forward, refused};
-pub use registry::{Entered, Registry};
+pub use registry::{Entered, Held, Registry};
 pub use sink::is_connection_field;
 
 use crate::wire::Name;
--- a/src/pass/registry.rs
+++ b/src/pass/registry.rs
@@ -5,15 +5,45 @@
     net::{Shutdown, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
 };
 
+/// Most bytes of whole answers that a host keeps at the same time.
+const HELD_MAX: usize = 8 << 20;
+/// Bytes of an answer that always have room.
+const HELD_FREE: usize = 64 * 1024;
+
 /// The attempts under way.
 #[derive(Debug, Default)]
 pub struct Registry {
     /// Sorted by id.
     list: Mutex<Vec<Under>>,
+    /// Bytes of answers that are kept until they are whole.
+    held: AtomicUsize,
+}
+
+/// Room for an answer that is kept until it is whole; it is given back when this is dropped.
+#[derive(Debug)]
+pub struct Held<'a> {
+    all: &'a AtomicUsize,
+    size: usize,
+}
+
+impl Held<'_> {
+    /// Whether there is room for `size` bytes of this answer.
+    pub fn grow(&mut self, size: usize) -> bool {
+        let more = size.saturating_sub(self.size);
+        self.size += more;
+        let all = self.all.fetch_add(more, Ordering::Relaxed) + more;
+        size <= HELD_FREE || all <= HELD_MAX
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.all.fetch_sub(self.size, Ordering::Relaxed);
+    }
 }
 
 #[derive(Debug)]
@@ -52,6 +82,14 @@
         }
     }
 
+    /// Room for an answer of which nothing arrived.
+    pub fn hold(&self) -> Held<'_> {
+        Held {
+            all: &self.held,
+            size: 0,
+        }
+    }
+
     /// Closes the connection of the attempt `id`; `false` if there is none.
     pub fn end(&self, id: &str) -> bool {
         let list = self.lock();
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -220,6 +220,7 @@
     ) -> Result<Answer, Stop> {
         let mut body = Vec::new();
         let (mut size, mut since) = (0, self.host.now());
+        let mut held = self.host.passing.hold();
         loop {
             let read = conn.read(POLL, &mut body);
             match self.arrived(read, since, entered)? {
@@ -227,6 +228,9 @@
                 Some(true) if body.len() > WHOLE_MAX || conn.taken() > WHOLE_TAKEN_MAX => {
                     return Err(broken("the answer is too long"));
                 }
+                Some(true) if !held.grow(body.len()) => {
+                    return Err(broken("there is no room for the answer beside others"));
+                }
                 Some(true) => {
                     // Framing alone is no progress.
                     if body.len() > size {
--- a/tests/pass_endless.rs
+++ b/tests/pass_endless.rs
@@ -1,7 +1,7 @@
 //! A connection to a server that sends without end is given up after a bounded number of bytes and
 //! looks.
 
-use gooseberrytack::pass::{Conn, ReadError};
+use gooseberrytack::pass::{Conn, ReadError, Registry};
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener},
@@ -101,3 +101,22 @@
     });
     assert!(broken, "never given up");
 }
+
+/// Answers that are kept until they are whole share the room of a host; small ones always have some.
+#[test]
+fn held_answers_share_room() {
+    let (registry, mut held) = (Registry::default(), Vec::new());
+    let mut size = 0;
+    for _ in 0..64 {
+        let mut one = registry.hold();
+        if one.grow(1 << 20) {
+            size += 1 << 20;
+        }
+        held.push(one);
+    }
+    assert_eq!(size, 8 << 20);
+    assert!(registry.hold().grow(1024));
+    assert!(!registry.hold().grow(1 << 20));
+    drop(held);
+    assert!(registry.hold().grow(4 << 20));
+}
