--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -8,7 +8,7 @@
     clock::Time,
     error::{Fail, Kind},
     gate::Slot,
-    pass::{Conn, Entered, Event, Events, Head, ReadError, Request, Sending, Verdict},
+    pass::{Conn, Dialect, Entered, Event, Events, Head, ReadError, Request, Sending, Verdict},
     timeline::Happening,
     wire::{Answer, Class},
 };
@@ -22,7 +22,13 @@
 /// after two seconds of silence, so that there is time for another server.
 const SILENCE: Duration = Duration::from_millis(800);
 /// Longest body of an answer that is no event stream, in bytes.
-const WHOLE_MAX: usize = 16 << 20;
+const WHOLE_MAX: usize = 4 << 20;
+/// Most bytes of such an answer as it arrives, its head and framing included.
+const WHOLE_TAKEN_MAX: u64 = 8 << 20;
+/// Most bytes of events without id and data between two others.
+const EMPTY_MAX: usize = 16 * 1024;
+/// Longest text of a batch item in bytes: a page of results.
+const TEXT_MAX: usize = 1 << 20;
 
 impl<S: Sink> Run<'_, S> {
     /// Passes `request` to the slot's server, from the event after the last one passed back.
@@ -52,11 +58,34 @@
         };
         let fields = (dialect.fields)(&sending);
         self.sent += 1;
-        conn.send(&head_text(request, &fields), &request.body)
-            .map_err(|e| self.lost(&format!("the request was cut: {e}"), entered.is_ended()))?;
+        let result = match conn.send(&head_text(request, &fields), &request.body) {
+            Ok(()) => self.answered(slot, attempt, request, dialect, &mut conn, &entered),
+            Err(e) => Err(self.lost(&format!("the request was cut: {e}"), entered.is_ended())),
+        };
+        if let Err(Stop::Failed(fail)) = &result
+            && matches!(fail.kind, Kind::BrokenAnswer | Kind::ServerLost)
+        {
+            let (id, server) = (&*slot.id, &*slot.server);
+            let bytes = conn.taken();
+            tracing::info!(id, server, bytes, cause = &*fail.text, "answer_cut");
+        }
+        result
+    }
+
+    /// Reads the answer and passes it back.
+    fn answered(
+        &mut self,
+        slot: &Slot,
+        attempt: &mut Try,
+        request: &Request,
+        dialect: &Dialect,
+        conn: &mut Conn,
+        entered: &Entered<'_>,
+    ) -> Result<Answer, Stop> {
+        let host = self.host;
         let since = host.now();
         let head = loop {
-            if let Some(head) = self.arrived(conn.head(POLL), since, &entered)? {
+            if let Some(head) = self.arrived(conn.head(POLL), since, entered)? {
                 break head;
             }
         };
@@ -80,9 +109,9 @@
             .field("content-type")
             .is_some_and(|t| t.starts_with("text/event-stream"));
         if head.status == 200 && is_stream {
-            return self.events(slot, attempt, &mut conn, &head, &entered);
+            return self.events(slot, attempt, conn, &head, entered);
         }
-        self.whole(slot, &mut conn, &head, &entered)
+        self.whole(slot, conn, &head, entered)
     }
 
     fn events(
@@ -94,6 +123,8 @@
         entered: &Entered<'_>,
     ) -> Result<Answer, Stop> {
         let mut events = Events::default();
+        // Events with nothing for the caller; they may turn out to be no part of the answer.
+        let mut empty = Vec::new();
         let mut since = self.host.now();
         loop {
             let read = conn.read(POLL, events.buffer());
@@ -101,16 +132,27 @@
                 continue;
             };
             let mut moved = false;
-            while let Some(event) = events
+            while let Some(mut event) = events
                 .pop()
                 .map_err(|_| broken("an event of the answer is not valid"))?
             {
+                if event.is_empty() {
+                    empty.append(&mut event.raw);
+                    if empty.len() > EMPTY_MAX {
+                        return Err(broken("the answer has no more events"));
+                    }
+                    continue;
+                }
                 if attempt.first.is_none() {
                     attempt.first = Some(self.host.now());
                     let timeline = &self.host.timeline;
                     timeline.note(Happening::FirstToken, &slot.id, None, &slot.server);
                 }
-                moved |= event.id.is_some() || !event.data.is_empty();
+                moved = true;
+                if !empty.is_empty() {
+                    empty.append(&mut event.raw);
+                    event.raw = std::mem::take(&mut empty);
+                }
                 self.pass_event(head, &event)?;
             }
             // Bytes that never become an event are no progress, and neither are comments.
@@ -125,6 +167,14 @@
                     return Err(self.lost(text, entered.is_ended()));
                 }
                 self.sink.begin(head).map_err(Stop::Unwanted)?;
+                if !empty.is_empty() {
+                    let event = Event {
+                        id: None,
+                        data: String::new(),
+                        raw: empty,
+                    };
+                    self.sink.event(&event).map_err(Stop::Unwanted)?;
+                }
                 return Ok(self.answer(slot));
             }
         }
@@ -138,12 +188,21 @@
                 return Err(broken(&text));
             }
             self.pos = id;
+        } else if self.pos > 0 {
+            let text = format!("an event without id came after event {}", self.pos);
+            return Err(broken(&text));
         }
         if self.work.class == Class::Batch {
             if !self.text.is_empty() {
                 self.text.push('\n');
             }
             self.text += &event.data;
+            if self.text.len() > TEXT_MAX {
+                // Another server begins anew.
+                self.text.clear();
+                self.pos = self.work.request.as_ref().map_or(0, |r| r.after);
+                return Err(broken("the text of the item is too long"));
+            }
         }
         self.sink
             .begin(head)
@@ -160,16 +219,23 @@
         entered: &Entered<'_>,
     ) -> Result<Answer, Stop> {
         let mut body = Vec::new();
-        let mut since = self.host.now();
+        let (mut size, mut since) = (0, self.host.now());
+        let mut held = self.host.passing.hold();
         loop {
             let read = conn.read(POLL, &mut body);
             match self.arrived(read, since, entered)? {
                 Some(false) => break,
-                Some(true) if body.len() > WHOLE_MAX => {
+                Some(true) if body.len() > WHOLE_MAX || conn.taken() > WHOLE_TAKEN_MAX => {
                     return Err(broken("the answer is too long"));
                 }
+                Some(true) if !held.grow(body.len()) => {
+                    return Err(broken("there is no room for the answer beside others"));
+                }
                 Some(true) => {
-                    since = self.host.now();
+                    // Framing alone is no progress.
+                    if body.len() > size {
+                        (size, since) = (body.len(), self.host.now());
+                    }
                     self.go_on(since)?;
                 }
                 None => {}
