A host that was killed sends no more work to servers

Cause: the loop that asks one server after the other looked at the deadline and at the caller, but not at whether its host still stood. No change for a host that runs.

--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -37,6 +37,11 @@
     /// Runs the work from its position on the slot's server.
     pub(super) fn attempt(&mut self, mut slot: Slot) -> Result<Answer, Stop> {
         let host = self.host;
+        // A host that was lost sends nothing more.
+        if host.is_dead() {
+            let fail = Fail::new(Kind::Cancelled, "the host is lost");
+            return Err(Stop::Unwanted(fail));
+        }
         if !self.admitted {
             self.sink.admit().map_err(Stop::Unwanted)?;
             self.admitted = true;
