--- a/tests/http_endless.rs
+++ b/tests/http_endless.rs
@@ -133,3 +133,54 @@
     let error = client.call("GET", &url, &[], &[], LIMITS);
     assert!(error.expect_err("too long").sent);
 }
+
+const POST: &str = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// Requests without end: what comes first, and what is repeated.
+const REQUESTS: [(&str, &str, &str); 9] = [
+    ("bytes", "", "x"),
+    ("request line", "GET /", "x"),
+    ("field", "GET / HTTP/1.1\r\nf: ", "x"),
+    ("fields", "GET / HTTP/1.1\r\n", "f: x\r\n"),
+    ("empty lines", "", "\r\n"),
+    ("chunks", POST, "1\r\nx\r\n"),
+    ("size line", POST, "0"),
+    (
+        "chunk extension",
+        "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n1;",
+        "x",
+    ),
+    (
+        "trailers",
+        "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+        "f: x\r\n",
+    ),
+];
+
+/// A server ends a request that never ends, after a bounded number of bytes, and serves on.
+#[test]
+fn request_endless_is_refused() {
+    let bounds = Bounds {
+        read: Duration::from_secs(30),
+        body: 64 * 1024,
+        ..Bounds::default()
+    };
+    let addr = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = Server::start(addr, bounds, |exchange| {
+        let _ = exchange.send(200, "text/plain", b"x");
+    });
+    let server = server.expect("free port");
+    for (kind, first, again) in REQUESTS {
+        let mut conn = TcpStream::connect(server.addr()).expect("a server");
+        let again = again.repeat(WRITE_SIZE.div_ceil(again.len()));
+        let mut sent = 0;
+        let _ = conn.write_all(first.as_bytes());
+        while let Ok(size) = conn.write(again.as_bytes()) {
+            sent += size;
+            assert!(sent < MOST, "{kind}: {sent} bytes");
+        }
+    }
+    let url = format!("http://{}/a", server.addr());
+    let reply = Client::new().call("GET", &url, &[], &[], LIMITS);
+    assert_eq!(reply.expect("answered").status, 200);
+}
