The HTTP client has an agent of ureq for each address

Cause: ureq's pool numbers its idle connections by address at every call, once when it takes a connection and once when one comes back. Each time it scans all of them once for each distinct address and compares scheme and authority. A host of 62 calls all others, so each call between hosts and to the store paid for some hundred connections, under the pool's lock.

Change: one agent for each address, dropped with its connections when the address was not called for as long as a connection may be idle. 64 idle connections for each address as before; the bound of 512 over all addresses went with the shared pool.

It works since an agent's pool holds the connections of one address, so that its scan is as long as the few connections to that address. Test: call_addresses_keep_own_connections.

--- /dev/null
+++ b/src/http/agents.rs
@@ -0,0 +1,64 @@
+//! An agent of `ureq` for each address, since its pool looks through the connections of all addresses at
+//! each call, once for each address.
+
+use super::client::{IDLE_AGE, agent};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Instant,
+};
+use ureq::Agent;
+
+/// Idle connections kept for each address.
+const IDLE_CONNS: usize = 64;
+
+/// The agents of the addresses that were called lately.
+#[derive(Debug)]
+pub(super) struct Agents {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    agents: BTreeMap<SocketAddr, Entry>,
+    /// When agents that were not used were last dropped.
+    swept: Instant,
+}
+
+#[derive(Debug)]
+struct Entry {
+    agent: Agent,
+    used: Instant,
+}
+
+impl Agents {
+    /// No agents yet.
+    pub(super) fn new() -> Self {
+        let inner = Inner {
+            agents: BTreeMap::new(),
+            swept: Instant::now(),
+        };
+        Self {
+            inner: Mutex::new(inner),
+        }
+    }
+
+    /// The agent that keeps connections to `addr`. Agents that were not used for as long as a connection
+    /// may be idle are dropped with their connections.
+    pub(super) fn get(&self, addr: SocketAddr) -> Agent {
+        let now = Instant::now();
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.duration_since(inner.swept) >= IDLE_AGE {
+            inner.swept = now;
+            let is_used = |e: &Entry| now.duration_since(e.used) < IDLE_AGE;
+            inner.agents.retain(|_, e| is_used(e));
+        }
+        let entry = inner.agents.entry(addr).or_insert_with(|| Entry {
+            agent: agent(IDLE_CONNS),
+            used: now,
+        });
+        entry.used = now;
+        entry.agent.clone()
+    }
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,6 +1,6 @@
 //! The client, on `ureq`.
 
-use super::{filter::Filter, resolver::IpResolver};
+use super::{agents::Agents, filter::Filter, resolver::IpResolver};
 use std::{
     fmt,
     io::{self, BufRead, BufReader, Read},
@@ -17,12 +17,8 @@
 
 /// Buffer for each direction of a connection in bytes. The library's default is 128 KB.
 const BUFFER: usize = 8 * 1024;
-/// Idle connections kept for each address.
-const IDLE_CONNS: usize = 64;
-/// Idle connections kept in all.
-const ALL_IDLE: usize = 512;
 /// Longest time that an idle connection is kept; shorter than any server's.
-const IDLE_AGE: Duration = Duration::from_secs(15);
+pub(super) const IDLE_AGE: Duration = Duration::from_secs(15);
 /// Most bytes in a whole reply.
 const REPLY_MAX: u64 = 256 * 1024 * 1024;
 
@@ -52,7 +48,7 @@
 /// Sends requests; clones share connections and cut addresses.
 #[derive(Debug, Clone)]
 pub struct Client {
-    pooled: Agent,
+    pooled: Arc<Agents>,
     fresh: Agent,
     filter: Arc<Filter>,
 }
@@ -104,7 +100,7 @@
     /// A client without connections.
     pub fn new() -> Self {
         Self {
-            pooled: agent(IDLE_CONNS),
+            pooled: Arc::new(Agents::new()),
             fresh: agent(0),
             filter: Arc::default(),
         }
@@ -138,7 +134,10 @@
         body: &[u8],
         limits: Timeouts,
     ) -> Result<Reply, SendError> {
-        self.whole(&self.pooled, method, url, fields, body, limits)
+        let addr = self.filter.pass(url, limits.connect)?;
+        // Without an address the call fails before it connects.
+        let agent = addr.map_or_else(|| self.fresh.clone(), |a| self.pooled.get(a));
+        self.whole(addr, run(&agent, method, url, fields, body, limits))
     }
 
     /// Like `call`, on a connection that no earlier request used: a pooled one that the server
@@ -154,20 +153,17 @@
         body: &[u8],
         limits: Timeouts,
     ) -> Result<Reply, SendError> {
-        self.whole(&self.fresh, method, url, fields, body, limits)
+        let addr = self.filter.pass(url, limits.connect)?;
+        self.whole(addr, run(&self.fresh, method, url, fields, body, limits))
     }
 
+    /// The whole answer of the server at `addr`.
     fn whole(
         &self,
-        agent: &Agent,
-        method: &str,
-        url: &str,
-        fields: &[(&str, &str)],
-        body: &[u8],
-        limits: Timeouts,
+        addr: Option<SocketAddr>,
+        response: Result<Response<Body>, SendError>,
     ) -> Result<Reply, SendError> {
-        let addr = self.filter.pass(url, limits.connect)?;
-        let reply = read_reply(run(agent, method, url, fields, body, limits)?)?;
+        let reply = read_reply(response?)?;
         self.filter.arrive(addr)?;
         Ok(reply)
     }
@@ -243,7 +239,7 @@
 
 /// An agent that keeps `idle` connections for each address. One that keeps some is for short
 /// messages and sends no header fields of its own beyond those that HTTP asks for.
-fn agent(idle: usize) -> Agent {
+pub(super) fn agent(idle: usize) -> Agent {
     let product = if idle == 0 {
         AutoHeaderValue::Provided(Arc::new("gooseberrytack".into()))
     } else {
@@ -255,7 +251,7 @@
         .proxy(None)
         .input_buffer_size(BUFFER)
         .output_buffer_size(BUFFER)
-        .max_idle_connections(if idle == 0 { 0 } else { ALL_IDLE })
+        .max_idle_connections(idle)
         .max_idle_connections_per_host(idle)
         .max_idle_age(IDLE_AGE)
         .user_agent(product)
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -4,6 +4,7 @@
 //! connections, counts connections against a bound and never lets one wait behind another. Heads are parsed by `httparse`, chunks by `chunked_transfer`. The
 //! client is `ureq` with small buffers.
 
+mod agents;
 mod client;
 mod conns;
 mod exchange;
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -137,3 +137,23 @@
         .expect_err("the address was cut meanwhile");
     assert!(error.sent, "{error:?}");
 }
+
+#[test]
+fn call_addresses_keep_own_connections() {
+    let answer = |exchange: &mut Exchange| {
+        let _ = exchange.send(200, "text/plain", b"x");
+    };
+    let (first, second) = (start(answer), start(answer));
+    let client = Client::new();
+    for _ in 0..5 {
+        for (server, url) in [&first, &second] {
+            let reply = client.call("GET", url, &[], &[], LIMITS);
+            assert_eq!(reply.expect("answered").status, 200);
+            assert_eq!(server.open(), 1, "calls share a connection");
+        }
+    }
+    drop(client);
+    for (server, _) in [&first, &second] {
+        standin::wait_for("no connection kept", || server.open() == 0);
+    }
+}
