--- a/src/kernel/call.rs
+++ b/src/kernel/call.rs
@@ -32,6 +32,7 @@
         let stamp = self.timeline.stamp().to_string();
         let url = format!("http://{addr}{}", Q::PATH);
         let fields = [(STAMP, stamp.as_str())];
+        self.meters.call(Q::PATH);
         let reply = self
             .client
             .call("POST", &url, &fields, &body, Timeouts::within(limit))
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -29,12 +29,18 @@
     code: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PathLabel {
+    path: &'static str,
+}
+
 /// Counters and histograms of one host.
 #[derive(Debug)]
 pub struct Meters {
     registry: Registry,
     events: Family<EventLabel, Counter>,
     refused: Family<CodeLabel, Counter>,
+    calls: Family<PathLabel, Counter>,
     batch: Counter,
     helpless: Counter,
     first: Histogram,
@@ -71,6 +77,7 @@
             registry: Registry::with_prefix("gooseberrytack"),
             events: Family::default(),
             refused: Family::default(),
+            calls: Family::default(),
             batch: Counter::default(),
             helpless: Counter::default(),
             first: histogram(),
@@ -92,6 +99,7 @@
             "Requests refused or failed",
             self.refused.clone(),
         );
+        to.register("calls", "Calls sent to other hosts", self.calls.clone());
         to.register("batch_tokens", "Batch tokens generated", self.batch.clone());
         let help = "Calls to a lost log for which no peer could help";
         to.register("log_helpless", help, self.helpless.clone());
@@ -138,6 +146,11 @@
         self.refused.get_or_create(&CodeLabel { code }).inc();
     }
 
+    /// Counts a call sent to another host.
+    pub fn call(&self, path: &'static str) {
+        self.calls.get_or_create(&PathLabel { path }).inc();
+    }
+
     /// Counts a batch token.
     pub fn batch_token(&self) {
         self.batch.inc();
--- a/tests/metrics_text.rs
+++ b/tests/metrics_text.rs
@@ -92,3 +92,17 @@
     let reply = Client::new().call("GET", &url, &[], b"", Timeouts::within(LIMIT));
     assert_eq!(reply.expect("an answer").status, 404);
 }
+
+#[test]
+fn fetch_counts_calls_to_other_hosts() {
+    let harness = Harness::start(Plan {
+        hosts: 2,
+        tune: |s| s.metrics = Some("127.0.0.1:0".parse().expect("an address")),
+        ..Plan::default()
+    });
+    let name = "gooseberrytack_calls_total{path=\"/peer/member/whoami\"}";
+    wait_for("a probe of the other host", || {
+        fetch(&harness).contains(name)
+    });
+    assert!(value(&fetch(&harness), name) >= 1.0);
+}
