Shares: what did not move is reported at every third look

A host told the homes of all workspaces that it had batch work of what they were served five times a second, also when it had served nothing. Now it tells at once what moved and the rest at every third look, which still learns the tags that other hosts move.

--- a/src/share/fleet.rs
+++ b/src/share/fleet.rs
@@ -12,8 +12,11 @@
 /// gained beyond that, because its work or that of others came late, is forgotten.
 pub const APART: Tag = 300 * super::UNIT;
 
-/// Reports without work after which a host forgets a workspace.
+/// Looks without work after which a host forgets a workspace.
 const IDLE_MAX: u32 = 25;
+/// Looks after which a workspace that this host moved nothing for is reported all the same: its tag
+/// moves by the work of other hosts.
+const QUIET_MAX: u32 = 2;
 
 /// What a host tells the home of a workspace.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -68,8 +71,10 @@
     sent: i64,
     /// What was not reported yet.
     unsent: i64,
-    /// Reports since something was last asked for.
+    /// Looks since something was last asked for.
     idle: u32,
+    /// Looks since the last report.
+    quiet: u32,
 }
 
 impl Local {
@@ -96,7 +101,8 @@
         self.level = self.level.max(level);
     }
 
-    /// What to report now. Workspaces without work are forgotten.
+    /// What to report at this look: what moved, and now and then what did not. Workspaces without
+    /// work are forgotten.
     pub fn reports(&mut self) -> Vec<Report> {
         self.all
             .retain(|s| s.idle < IDLE_MAX || s.sent != 0 || s.unsent != 0);
@@ -108,15 +114,10 @@
             .min();
         self.level = self.level.max(least.unwrap_or(0));
         let level = self.level;
-        let reports = self.all.iter_mut().map(|own| {
-            let moved = std::mem::take(&mut own.unsent);
-            own.sent += moved;
+        let reports = self.all.iter_mut().filter_map(|own| {
             own.idle += 1;
-            Report {
-                workspace: own.workspace.clone(),
-                moved,
-                level,
-            }
+            own.quiet += 1;
+            (own.unsent != 0 || own.quiet > QUIET_MAX).then(|| own.report(level))
         });
         reports.collect()
     }
@@ -140,6 +141,7 @@
                 sent: 0,
                 unsent: 0,
                 idle: 0,
+                quiet: QUIET_MAX,
             };
             self.all.insert(at, own);
             at
@@ -152,6 +154,17 @@
     fn tag(&self) -> Tag {
         self.known.saturating_add_signed(self.sent + self.unsent)
     }
+
+    fn report(&mut self, level: Tag) -> Report {
+        let moved = std::mem::take(&mut self.unsent);
+        self.sent += moved;
+        self.quiet = 0;
+        Report {
+            workspace: self.workspace.clone(),
+            moved,
+            level,
+        }
+    }
 }
 
 /// Tags of the workspaces whose batch work waits at one server.
--- a/tests/share_fair.rs
+++ b/tests/share_fair.rs
@@ -81,3 +81,27 @@
     assert_eq!(local.tag(&w), 10 * UNIT);
     assert_eq!(local.reports()[0].moved, 10 * UNIT as i64);
 }
+
+#[test]
+fn reports_nothing_moved_are_rare() {
+    let (mut local, w) = (Local::default(), "w".into());
+    local.tag(&w);
+    let count = |local: &mut Local| {
+        (0..20)
+            .map(|_| {
+                local.tag(&w);
+                let reports = local.reports();
+                reports
+                    .iter()
+                    .for_each(|r| local.answered(r, Some(70 * UNIT)));
+                reports.len()
+            })
+            .collect::<Vec<_>>()
+    };
+    let counts = count(&mut local);
+    assert_eq!(counts[0], 1, "a workspace that is new here");
+    assert_eq!(counts.iter().sum::<usize>(), 7, "{counts:?}");
+    assert_eq!(local.tag(&w), 70 * UNIT);
+    local.charge(&w, 1, 10);
+    assert_eq!(local.reports()[0].moved, 10 * UNIT as i64, "at once");
+}
