Gates: slots are renewed once a second, not twice

Every slot held was renewed every half second at its gate, though the lease is three seconds and an online answer takes 0.7 s. Now a gate is written to when one of its slots was not told of for a second, or at once when another host is in charge. A renewal that got no answer is sent again after half a second, so that two lost ones still lose no slot, and a new gate hears of every slot within the two seconds for which it holds batch work back.

--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -22,6 +22,9 @@
 pub(super) const CALL_LIMIT: Duration = Duration::from_millis(400);
 /// Time for which a gate that failed to answer is passed over.
 const DOWN: Duration = Duration::from_secs(1);
+/// Time for which a gate need not hear of a slot: a third of the lease, so that a lost message or two
+/// lose no slot, and less than a new gate waits for word of slots.
+const RENEW_AFTER: Duration = Duration::from_secs(1);
 /// Longest time without a look at whether there is something to give back.
 const NAP: Duration = Duration::from_secs(1);
 
@@ -44,6 +47,15 @@
     kept: Kept,
     weight: u32,
     gate: Peer,
+    /// The host that last heard of it, and when.
+    told: (Name, Time),
+}
+
+impl Own {
+    /// Whether `gate` is to be told of the slot now.
+    fn is_due(&self, gate: &Name, now: Time) -> bool {
+        self.told.0 != *gate || now.saturating_sub(self.told.1) >= RENEW_AFTER
+    }
 }
 
 /// A slot on its way back.
@@ -187,6 +199,7 @@
             },
             weight: weight(host, &call.ask),
             gate: gate.clone(),
+            told: (gate.name.clone(), host.now()),
         };
         let Ask {
             workspace, cost, ..
@@ -271,26 +284,45 @@
         }
     }
 
-    /// Renews every slot held, one message for each gate.
+    /// Renews the slots held, one message for each gate that has not heard of one of them lately.
     pub(super) fn renew(&self, host: &Arc<Host>) {
         let slots = self.slots.lock().expect("held slots").clone();
+        let now = host.now();
         let mut mail = Mail::default();
         for own in slots {
             let owner = host.members.owner(&gate_key(&own.kept.server));
-            let owner = owner.filter(|o| !self.is_down(&o.name, host.now()));
-            mail.add(owner.unwrap_or(own.gate), own.kept);
+            let owner = owner.filter(|o| !self.is_down(&o.name, now));
+            let gate = owner.unwrap_or(own.gate.clone());
+            mail.add(gate, own);
         }
         for (peer, slots) in mail.groups {
+            if !slots.iter().any(|own| own.is_due(&peer.name, now)) {
+                continue;
+            }
+            let slots: Vec<Kept> = slots.into_iter().map(|own| own.kept).collect();
             let servers: Vec<Name> = slots.iter().map(|k| k.server.clone()).collect();
+            let ids: Vec<Name> = slots.iter().map(|k| k.ask.id.clone()).collect();
             let counts = if peer.name == host.me.name {
                 host.gates.queues.renew(host, &slots)
             } else {
                 self.tell(host, &peer, &Renew { slots })
             };
+            if !counts.is_empty() {
+                self.note_told(&ids, &peer.name, now);
+            }
             host.routes.learn(host.now(), &servers, &counts);
         }
     }
 
+    fn note_told(&self, ids: &[Name], gate: &Name, now: Time) {
+        let mut slots = self.slots.lock().expect("held slots");
+        for id in ids {
+            if let Ok(at) = slots.binary_search_by(|s| s.kept.ask.id.cmp(id)) {
+                slots[at].told = (gate.clone(), now);
+            }
+        }
+    }
+
     /// Sends a message to a gate; no counts if the gate does not answer.
     fn tell<Q: Call<Reply = Noted>>(&self, host: &Host, peer: &Peer, call: &Q) -> Vec<Counts> {
         if self.is_down(&peer.name, host.now()) {
