Members: a peer that answers is probed every 4.5 s, one in doubt each second

Now a peer is in doubt after a call or a probe that failed, and before the first probe; the others are only asked whether they are still the same host. While the log is away all are probed each second, as then it counts which peers answer. The second owner of a gate is watched only once it is asked.

--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -119,12 +119,10 @@
             wait,
             force: false,
         };
-        for peer in &owners {
-            host.members.watch(peer, host.now());
-        }
         let is_up =
             |p: &&Peer| !self.is_down(&p.name, host.now()) && !host.members.is_down(&p.name);
         for peer in owners.iter().filter(is_up) {
+            host.members.watch(peer, host.now());
             match self.ask_peer(host, peer, &mut call) {
                 Ok((gate, admission)) => return Ok(self.read(host, &call, &gate, &admission)),
                 Err(_) => {
--- a/src/kernel/call.rs
+++ b/src/kernel/call.rs
@@ -35,15 +35,16 @@
         self.meters.call(Q::PATH);
         let reply = self
             .client
-            .call("POST", &url, &fields, &body, Timeouts::within(limit))
-            .map_err(|e| {
-                let kind = if e.sent {
-                    Kind::ServerLost
-                } else {
-                    Kind::Unreachable
-                };
-                Fail::new(kind, format!("host at {addr}: {}", e.text))
-            })?;
+            .call("POST", &url, &fields, &body, Timeouts::within(limit));
+        let reply = reply.map_err(|e| {
+            self.members.failed(addr);
+            let kind = if e.sent {
+                Kind::ServerLost
+            } else {
+                Kind::Unreachable
+            };
+            Fail::new(kind, format!("host at {addr}: {}", e.text))
+        })?;
         let stamp = reply.fields.iter().find(|(n, _)| n == STAMP);
         if let Some(stamp) = stamp.and_then(|(_, v)| v.parse().ok()) {
             self.timeline.observe(stamp);
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -18,6 +18,7 @@
 
 use crate::{clock::Time, kernel::Host, settings::Settings, wire::Peer};
 use std::{
+    net::SocketAddr,
     sync::{
         Arc, Mutex, RwLock,
         atomic::{AtomicUsize, Ordering},
@@ -122,6 +123,11 @@
         self.probes.lock().expect("probes").watch(peer, now);
     }
 
+    /// Takes note that a call to the host at `addr` failed.
+    pub fn failed(&self, addr: SocketAddr) {
+        self.probes.lock().expect("probes").failed(addr);
+    }
+
     /// Whether probes of a watched host go unanswered. Work may be sent elsewhere, but the host
     /// stays in charge of what it is in charge of.
     pub fn is_down(&self, name: &str) -> bool {
--- a/src/member/probe.rs
+++ b/src/member/probe.rs
@@ -6,12 +6,15 @@
     wire::{Name, Peer},
 };
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 /// Time for which a peer is probed after it was last worked with.
 const WATCHED: Duration = Duration::from_secs(10);
 /// Failed probes in a row after which a peer counts as down.
 const MISSES: u32 = 2;
+/// Time between two probes of a peer that answered the last call to it: they tell whether it is still
+/// the same host.
+const CHECK: Duration = Duration::from_millis(4500);
 /// Most peers probed by one host.
 const MOST: usize = 16;
 
@@ -33,6 +36,14 @@
     pub used: Time,
     /// Failed probes in a row.
     pub misses: u32,
+    /// Last probe that it answered, unless a later call or probe failed.
+    sound: Option<Time>,
+}
+
+impl Probe {
+    fn is_due(&self, now: Time) -> bool {
+        self.sound.is_none_or(|t| now.saturating_sub(t) >= CHECK)
+    }
 }
 
 /// The probed peers of one host.
@@ -54,24 +65,35 @@
                     peer: peer.clone(),
                     used: now,
                     misses: 0,
+                    sound: None,
                 },
             ),
         }
     }
 
-    /// The peers to probe now; forgets those that are not worked with any more.
-    pub fn due(&mut self, now: Time) -> Vec<Peer> {
+    /// Takes note that a call to the host at `addr` failed.
+    pub fn failed(&mut self, addr: SocketAddr) {
+        let found = self.peers.iter_mut().filter(|p| p.peer.addr == addr);
+        found.for_each(|p| p.sound = None);
+    }
+
+    /// The peers to probe now: those in doubt, and now and then the others; all of them if `alone`.
+    /// Forgets those that are not worked with any more.
+    pub fn due(&mut self, now: Time, alone: bool) -> Vec<Peer> {
         self.peers.retain(|p| now.saturating_sub(p.used) < WATCHED);
-        self.peers.iter().map(|p| p.peer.clone()).collect()
+        let due = self.peers.iter().filter(|p| alone || p.is_due(now));
+        due.map(|p| p.peer.clone()).collect()
     }
 
     /// Takes in the outcome of a probe: the name that was answered with, if any. Another name than
     /// the one asked for means that the host ended and a new one has its address.
-    pub fn done(&mut self, name: &str, answer: Option<&str>) {
+    pub fn done(&mut self, name: &str, answer: Option<&str>, now: Time) {
         let Ok(i) = self.find(name) else { return };
         if answer == Some(name) {
             self.peers[i].misses = 0;
+            self.peers[i].sound = Some(now);
         } else {
+            self.peers[i].sound = None;
             self.peers[i].misses += 1;
         }
     }
--- a/src/member/task.rs
+++ b/src/member/task.rs
@@ -127,7 +127,12 @@
     for peer in neighbours.iter().filter(|p| p.name != host.me.name) {
         host.members.watch(peer, began);
     }
-    let due = host.members.probes.lock().expect("probes").due(began);
+    // Without the log it counts which peers answer.
+    let alone = host.relay.is_lost();
+    let due = {
+        let mut probes = host.members.probes.lock().expect("probes");
+        probes.due(began, alone)
+    };
     thread::scope(|scope| {
         for peer in &due {
             scope.spawn(|| probe_one(host, peer));
@@ -138,7 +143,7 @@
 fn probe_one(host: &Host, peer: &Peer) {
     let answer = host.call(peer.addr, &Whoami {}, PROBE_LIMIT).ok();
     let mut probes = host.members.probes.lock().expect("probes");
-    probes.done(&peer.name, answer.as_deref());
+    probes.done(&peer.name, answer.as_deref(), host.now());
 }
 
 fn whoami(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
--- a/tests/member_place.rs
+++ b/tests/member_place.rs
@@ -119,13 +119,36 @@
     let mut probes = Probes::default();
     let peer = peer(1, 3);
     probes.watch(&peer, secs(1));
-    probes.done(&peer.name, Some("host-0001.new"));
+    probes.done(&peer.name, Some("host-0001.new"), secs(1));
     assert!(!probes.is_down(&peer.name));
-    probes.done(&peer.name, None);
+    probes.done(&peer.name, None, secs(1));
     assert!(probes.is_down(&peer.name));
-    probes.done(&peer.name, Some(&peer.name));
+    probes.done(&peer.name, Some(&peer.name), secs(1));
     assert!(!probes.is_down(&peer.name));
-    assert!(probes.due(secs(30)).is_empty());
+    assert!(probes.due(secs(30), true).is_empty());
+}
+
+#[test]
+fn probes_sound_peer_is_probed_rarely() {
+    let mut probes = Probes::default();
+    let peer = peer(1, 3);
+    let mut probed = Vec::new();
+    for s in 1..=9 {
+        probes.watch(&peer, secs(s));
+        for due in probes.due(secs(s), false) {
+            probes.done(&due.name, Some(&due.name), secs(s));
+            probed.push(s);
+        }
+    }
+    assert_eq!(probed, [1, 6], "at first, and whether it is the same host");
+    assert_eq!(probes.due(secs(9), true), [peer.clone()], "without the log");
+    assert!(probes.due(secs(9), false).is_empty());
+    probes.failed(peer.addr);
+    assert_eq!(probes.due(secs(9), false), [peer.clone()], "a call failed");
+    probes.done(&peer.name, None, secs(9));
+    assert_eq!(probes.due(secs(9), false), [peer.clone()], "a probe failed");
+    probes.done(&peer.name, Some(&peer.name), secs(9));
+    assert!(probes.due(secs(9), false).is_empty());
 }
 
 fn start(name: &str, announced: u64) -> Listed {
