Gates: batch work waits 2.5 s with one question, and not first where there is no room

An item that waited for a slot asked two servers without waiting, waited six times half a second at one and gave its place back: nine calls in three seconds, with a thread at the gate in each. Now a question waits up to 2.5 s, two of them at one server, and no server is asked without waiting that said within the last second that it is full. The place is kept while the question waits; a grant is still answered at once. An item that was cancelled or passed on meanwhile gives its slot back without sending.

--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -20,7 +20,7 @@
 };
 
 /// Longest time that one answer waits for a free slot.
-pub const WAIT_MAX: Duration = Duration::from_millis(500);
+pub const WAIT_MAX: Duration = Duration::from_millis(2500);
 /// Longest time for a cancel at a server.
 const CANCEL_LIMIT: Duration = Duration::from_millis(500);
 /// Longest time without a look at whether there is something to cancel.
@@ -149,6 +149,7 @@
         });
         let mut verdict = Verdict::Waiting;
         while verdict == Verdict::Waiting {
+            inner.queue.keep(&ask.id, end);
             let left = end.saturating_sub(host.now());
             if left.is_zero() || host.is_dead() {
                 break;
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -11,7 +11,7 @@
 
 /// Time without a renewal after which a slot is free again.
 pub const SLOT_LEASE: Duration = Duration::from_secs(3);
-/// Time without a question after which a waiting request is forgotten.
+/// Time after the answer to its last question after which a waiting request is forgotten.
 pub const WAIT_LEASE: Duration = Duration::from_secs(1);
 /// Time after the start of a gate in which batch work is held back, because hosts have yet to
 /// report the slots that an earlier gate granted.
@@ -159,6 +159,13 @@
         (Verdict::Busy, turn)
     }
 
+    /// Keeps the place of a request whose question waits for its answer until `end`.
+    pub fn keep(&mut self, id: &str, end: Time) {
+        if let Some(waiting) = self.waiting.iter_mut().find(|w| *w.ask.id == *id) {
+            waiting.seen = waiting.seen.max(end);
+        }
+    }
+
     /// Takes over what the batch work of a workspace was served by the whole fleet.
     pub fn note_served(&mut self, workspace: &Name, served: Tag) {
         self.batch.note(workspace, served);
@@ -317,15 +324,12 @@
         self.held.iter().filter(|h| !h.ended)
     }
 
-    fn online(&self) -> usize {
-        self.active()
-            .filter(|h| h.ask.class == Class::Online)
-            .count()
-    }
-
     fn has_room(&self, now: Time, class: Class) -> bool {
         match class {
-            Class::Online => self.online() < self.slots as usize,
+            Class::Online => {
+                let online = self.active().filter(|h| h.ask.class == Class::Online);
+                online.count() < self.slots as usize
+            }
             Class::Batch => {
                 self.active().count() < self.slots as usize && now >= self.began + SETTLE
             }
--- a/src/route/acquire.rs
+++ b/src/route/acquire.rs
@@ -11,9 +11,9 @@
 use std::{sync::atomic::Ordering, thread, time::Duration};
 
 /// How long one question of batch work waits at a gate.
-const BATCH_ROUND: Duration = Duration::from_millis(500);
+const BATCH_ROUND: Duration = Duration::from_millis(2500);
 /// Rounds that batch work waits at one server before it looks at the others again.
-const BATCH_ROUNDS: u32 = 6;
+const BATCH_ROUNDS: u32 = 2;
 /// Time after which batch work without a slot is given back.
 const BATCH_PATIENCE: Duration = Duration::from_secs(5);
 /// Pause when no gate answers or no server takes work.
@@ -121,10 +121,23 @@
         slot
     }
 
-    /// Asks each server in turn for a slot that is free now.
+    /// Asks each server in turn for a slot that is free now. Batch work does not ask where it lately
+    /// heard that there is none.
     pub(super) fn ask_around(&self, ask: &Ask, order: &[Name]) -> Asked {
         let mut shortest: Option<(f32, &Name)> = None;
+        let queue = |c: Counts| (c.waiting + c.backlog) as f32 / c.slots as f32;
         for server in order {
+            let full = match self.work.class {
+                Class::Online => None,
+                Class::Batch => self.host.routes.full(self.host.now(), server),
+            };
+            if let Some(counts) = full {
+                let queue = queue(counts);
+                if shortest.is_none_or(|(q, _)| queue < q) {
+                    shortest = Some((queue, server));
+                }
+                continue;
+            }
             let reply = self
                 .host
                 .gates
@@ -137,7 +150,7 @@
                 }
                 Ok(Reply::Busy(counts) | Reply::Waiting(counts)) => {
                     self.learn(server, counts);
-                    let queue = (counts.waiting + counts.backlog) as f32 / counts.slots as f32;
+                    let queue = queue(counts);
                     if shortest.is_none_or(|(q, _)| queue < q) {
                         shortest = Some((queue, server));
                     }
@@ -180,6 +193,7 @@
             match held.ask(self.host, server, ask, BATCH_ROUND.min(left)) {
                 Ok(Reply::Slot(slot, counts)) => {
                     self.learn(server, counts);
+                    self.look()?;
                     return Ok(Some(slot));
                 }
                 Ok(Reply::Waiting(counts)) => self.learn(server, counts),
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -93,6 +93,16 @@
         }
     }
 
+    /// The counts of `server`, if its gate told lately that more waits than slots are free.
+    pub fn full(&self, now: Time, server: &Name) -> Option<Counts> {
+        let seen = self.lock();
+        let at = seen.binary_search_by(|s| s.server.cmp(server)).ok()?;
+        let Seen { counts: c, at, .. } = &seen[at];
+        let is_fresh = at.is_some_and(|at| at + COUNTS_AGE > now);
+        let is_full = c.online + c.batch + c.waiting + c.backlog >= c.slots;
+        (is_fresh && is_full).then_some(*c)
+    }
+
     /// Notes that an attempt goes to `server`.
     pub fn begin(&self, now: Time, server: &Name, class: Class) {
         let mut seen = self.lock();
--- a/tests/gate_queue.rs
+++ b/tests/gate_queue.rs
@@ -134,6 +134,20 @@
     assert_eq!(queue.counts().waiting, 0);
 }
 
+#[test]
+fn keep_place_lasts_until_question_is_answered() {
+    let (mut queue, now) = settled(1);
+    put(&mut queue, now, "o", "w", Class::Online);
+    put(&mut queue, now, "asked", "w", Class::Online);
+    put(&mut queue, now, "silent", "w", Class::Online);
+    let answer = now + 2 * WAIT_LEASE;
+    queue.keep("asked", answer);
+    queue.expire(answer);
+    assert_eq!(queue.counts().waiting, 1);
+    queue.expire(answer + WAIT_LEASE);
+    assert_eq!(queue.counts().waiting, 0);
+}
+
 #[test]
 fn renew_unknown_slot_takes_it_over() {
     let mut queue = Queue::new(1, Time::ZERO);
