Tasks: several are run at one look; a quiet stream of jobs is looked at on its next record

Tasks drifted apart, so that the thread that runs them woke some 43 times a second on an idle host, and each followed stream of jobs was looked at 20 times a second by a thread of its own. Now a run may come a quarter of its time late, 50 ms at most, and then runs with others; a stream without open items is looked at when a record was read, or each half second.

--- a/src/batch/keep.rs
+++ b/src/batch/keep.rs
@@ -20,6 +20,8 @@
 
 /// Most bytes of outcomes in one round.
 const ROUND_BYTES: usize = 256 * 1024;
+/// Longest time without a look at a stream on which no item is open.
+const QUIET_LOOK: Duration = Duration::from_millis(500);
 /// Longest wait for one append and its reading.
 const ROUND_LIMIT: Duration = Duration::from_secs(5);
 /// Age of a reading beyond which it proves nothing about other hosts.
@@ -63,12 +65,23 @@
     let host = host.clone();
     spawn("batch-commit", move || {
         while !host.is_dead() && !stream.jobs.is_stopped() {
+            let next = stream.jobs.progress().next;
             commit(&host, &stream);
-            host.clock.sleep(LOOK);
+            if is_quiet(&stream) {
+                stream.jobs.wait_moved(next, QUIET_LOOK);
+            } else {
+                host.clock.sleep(LOOK);
+            }
         }
     });
 }
 
+/// Whether there is nothing to commit before the next record of the stream.
+fn is_quiet(stream: &Stream) -> bool {
+    let is_done = |s: &State| s.jobs.iter().all(|j| j.counts.open == 0);
+    stream.held() == 0 && stream.jobs.view(is_done)
+}
+
 /// Brings the schedulers in line with the folded state and starts what is due.
 fn look(host: &Arc<Host>) {
     for stream in host.batch.streams.followed() {
--- a/src/kernel/tasks.rs
+++ b/src/kernel/tasks.rs
@@ -10,7 +10,11 @@
 };
 
 /// Longest time between two looks at what is due.
-const LOOK: Duration = Duration::from_millis(50);
+const LOOK: Duration = Duration::from_millis(100);
+/// Part of a task's time by which a run may come late, so that several begin at one look.
+const LATE: u32 = 4;
+/// Most that a run comes late for that.
+const LATE_MAX: Duration = Duration::from_millis(50);
 
 /// A periodic task.
 #[derive(Debug)]
@@ -63,7 +67,7 @@
         for entry in entries.iter().filter(|e| e.is_due(host.now())) {
             entry.run(host, pool);
         }
-        let next = entries.iter().filter_map(Entry::due).min();
+        let next = entries.iter().filter_map(Entry::latest).min();
         let span = next.map_or(LOOK, |due| due.saturating_sub(host.now()).min(LOOK));
         host.rest(span);
     }
@@ -78,6 +82,12 @@
         }
     }
 
+    /// When the next run begins at the latest.
+    fn latest(&self) -> Option<Time> {
+        let late = (self.task.every / LATE).min(LATE_MAX);
+        self.due().map(|due| due + late)
+    }
+
     fn is_due(&self, now: Time) -> bool {
         self.due().is_some_and(|due| due <= now)
     }
