Rates: the place of a slot is worked out only where the slot is free

Five times a second each host went through all slots of all workspaces and worked out the places of each, also of those with a live holder. Not measured apart.

--- a/src/limit/call.rs
+++ b/src/limit/call.rs
@@ -101,8 +101,10 @@
         .is_none_or(|holder| succeeds || host.members.is_gone(holder, now));
     let read = host.homes.progress().fresh;
     let fresh = read.is_some_and(|f| now.saturating_sub(f) < PROOF_MAX);
-    let is_mine = succeeds || is_for_me(host, workspace, number);
-    if !free || !fresh || host.is_stopping() || !is_mine {
+    if !free || !fresh || host.is_stopping() {
+        return;
+    }
+    if !succeeds && !is_for_me(host, workspace, number) {
         return;
     }
     if host.limits.note_claim(workspace, number, slot.epoch, now) {
