--- a/src/batch/forward.rs
+++ b/src/batch/forward.rs
@@ -13,8 +13,10 @@
 };
 use std::{thread, time::Duration};
 
-/// Pause before the readers are asked again when none of them could answer.
+/// Pause before the readers are asked again when none of them could answer; it doubles.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Longest such pause.
+const PAUSE_MAX: Duration = Duration::from_millis(400);
 /// Time for an answer to travel, beyond the time that the work may take.
 const TRAVEL: Duration = Duration::from_secs(2);
 /// Streams that are asked at the same time.
@@ -73,6 +75,7 @@
     let end = host.now() + host.settings.wait;
     let mut doubt = false;
     let mut last = None;
+    let mut pause = PAUSE;
     loop {
         for peer in peers(host, slot) {
             let fail = match host.call(peer.addr, &call, order.limit(host)) {
@@ -99,7 +102,8 @@
             let text = "no host that reads the job's stream answers; try again";
             return Err(order.judge(Fail::new(Kind::NotReady, text), doubt));
         }
-        host.clock.sleep(PAUSE);
+        host.clock.sleep(pause);
+        pause = PAUSE_MAX.min(pause * 2);
     }
 }
 
