--- a/tests/member_place.rs
+++ b/tests/member_place.rs
@@ -141,12 +141,24 @@
         }
     }
     assert_eq!(probed, [1, 6], "at first, and whether it is the same host");
-    assert_eq!(probes.due(secs(9), true), [peer.clone()], "without the log");
+    assert_eq!(
+        probes.due(secs(9), true),
+        vec![peer.clone()],
+        "without the log"
+    );
     assert!(probes.due(secs(9), false).is_empty());
     probes.failed(peer.addr);
-    assert_eq!(probes.due(secs(9), false), [peer.clone()], "a call failed");
+    assert_eq!(
+        probes.due(secs(9), false),
+        vec![peer.clone()],
+        "a call failed"
+    );
     probes.done(&peer.name, None, secs(9));
-    assert_eq!(probes.due(secs(9), false), [peer.clone()], "a probe failed");
+    assert_eq!(
+        probes.due(secs(9), false),
+        vec![peer.clone()],
+        "a probe failed"
+    );
     probes.done(&peer.name, Some(&peer.name), secs(9));
     assert!(probes.due(secs(9), false).is_empty());
 }
