A socket is told its longest wait for bytes only when that changes

Cause: before each read of a server's answer, and of each request on a kept connection, the socket was given its time-out again: a system call beside each receive, for each event of each stream.

Change: a connection to a server and a connection of a caller remember the time-out that their socket has. It is set where it differs, so every read has the bound that it had before.

Test: read_no_end_on_kept_connection, where requests that came in pieces changed the time-out before.

--- a/src/http/input.rs
+++ b/src/http/input.rs
@@ -20,13 +20,17 @@
 /// The receiving side of a connection with the bytes not yet used.
 pub(super) struct Input<'a> {
     stream: &'a TcpStream,
+    /// Longest wait for bytes that the socket was last given.
+    limit: &'a mut Option<Duration>,
     buffer: Vec<u8>,
 }
 
 impl<'a> Input<'a> {
-    pub(super) fn new(stream: &'a TcpStream) -> Self {
+    /// Reads from `stream`, whose longest wait for bytes is `limit`; none if it was given none.
+    pub(super) fn new(stream: &'a TcpStream, limit: &'a mut Option<Duration>) -> Self {
         Self {
             stream,
+            limit,
             buffer: Vec::new(),
         }
     }
@@ -36,7 +40,7 @@
         if !self.buffer.is_empty() {
             return Ok(true);
         }
-        self.stream.set_read_timeout(Some(limit))?;
+        self.wait_at_most(limit)?;
         Ok(self.fill()? > 0)
     }
 
@@ -120,15 +124,21 @@
         Ok(n)
     }
 
+    /// Bounds the wait for bytes; the socket is told only when that changes.
+    fn wait_at_most(&mut self, limit: Duration) -> io::Result<()> {
+        if *self.limit != Some(limit) {
+            self.stream.set_read_timeout(Some(limit))?;
+            *self.limit = Some(limit);
+        }
+        Ok(())
+    }
+
     fn fill_by(&mut self, end: Instant) -> Result<(), Fail> {
         let left = end.saturating_duration_since(Instant::now());
         if left.is_zero() {
             return Err(cut("the request did not arrive in time"));
         }
-        let filled = self
-            .stream
-            .set_read_timeout(Some(left))
-            .and_then(|()| self.fill());
+        let filled = self.wait_at_most(left).and_then(|()| self.fill());
         match filled {
             Ok(0) => Err(cut("the request ended before its last byte")),
             Ok(_) => Ok(()),
--- a/src/http/service.rs
+++ b/src/http/service.rs
@@ -47,7 +47,13 @@
                 let _ = stream.set_nonblocking(false);
                 let _ = stream.set_nodelay(true);
                 let _ = stream.set_write_timeout(Some(bounds.write));
-                self.park(Idle { id, stream, deaf }, bounds.read.min(bounds.idle));
+                let conn = Idle {
+                    id,
+                    stream,
+                    deaf,
+                    limit: None,
+                };
+                self.park(conn, bounds.read.min(bounds.idle));
             }
             Room::Refuse(id) => {
                 let shared = self.shared.clone();
@@ -87,12 +93,12 @@
     }
 
     /// Serves what arrived on a connection, and has it wait for more if it may go on.
-    fn requests(&self, conn: Idle) {
+    fn requests(&self, mut conn: Idle) {
         let forget = Forget {
             shared: &self.shared,
             id: conn.id,
         };
-        if self.serve_all(&conn) {
+        if self.serve_all(&mut conn) {
             std::mem::forget(forget);
             self.park(conn, self.shared.bounds.idle);
         }
@@ -100,10 +106,15 @@
 
     /// Serves requests, one after the other, until none has arrived; whether the connection may carry
     /// more.
-    fn serve_all(&self, conn: &Idle) -> bool {
-        let Idle { id, stream, deaf } = conn;
+    fn serve_all(&self, conn: &mut Idle) -> bool {
+        let Idle {
+            id,
+            stream,
+            deaf,
+            limit,
+        } = conn;
         let bounds = &self.shared.bounds;
-        let mut input = Input::new(stream);
+        let mut input = Input::new(stream, limit);
         while matches!(input.wait(bounds.read), Ok(true)) {
             self.shared.conns.set_busy(*id, true);
             let request = match input.request(bounds) {
--- a/src/http/watch.rs
+++ b/src/http/watch.rs
@@ -23,6 +23,8 @@
     pub(super) stream: Arc<TcpStream>,
     /// Whether its reading side was closed from here.
     pub(super) deaf: Arc<AtomicBool>,
+    /// Longest wait for bytes that its socket was last given, if any.
+    pub(super) limit: Option<Duration>,
 }
 
 /// Connections that wait for their next request. The thread that polls is another one than those that
--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -25,6 +25,8 @@
 #[derive(Debug)]
 pub struct Conn {
     stream: Arc<TcpStream>,
+    /// Longest wait for bytes that the socket was last given.
+    limit: Duration,
     buffer: Vec<u8>,
     body: Option<Body>,
 }
@@ -49,6 +51,7 @@
         stream.set_write_timeout(Some(WRITE_LIMIT))?;
         Ok(Self {
             stream: Arc::new(stream),
+            limit: Duration::ZERO,
             buffer: Vec::new(),
             body: None,
         })
@@ -119,8 +122,7 @@
         let limit = limit.max(Duration::from_millis(1));
         let mut piece = [0; READ_SIZE];
         let read = self
-            .stream
-            .set_read_timeout(Some(limit))
+            .wait_at_most(limit)
             .and_then(|()| (&*self.stream).read(&mut piece));
         match read {
             Ok(n) => {
@@ -136,6 +138,15 @@
         }
     }
 
+    /// Bounds the wait for bytes; the socket is told only when that changes.
+    fn wait_at_most(&mut self, limit: Duration) -> io::Result<()> {
+        if self.limit != limit {
+            self.stream.set_read_timeout(Some(limit))?;
+            self.limit = limit;
+        }
+        Ok(())
+    }
+
     fn parse_head(&mut self) -> Result<Option<Head>, ReadError> {
         let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
         let mut parsed = httparse::Response::new(&mut fields);
--- a/tests/http_bounds.rs
+++ b/tests/http_bounds.rs
@@ -162,6 +162,25 @@
     assert_eq!(talk(&server, ""), "", "a connection that sends nothing");
 }
 
+#[test]
+fn read_no_end_on_kept_connection() {
+    let server = echo(Bounds {
+        read: Duration::from_millis(500),
+        ..Bounds::default()
+    });
+    let mut conn = connect(&server);
+    let head = "POST /a HTTP/1.1\r\nhost: t\r\ncontent-length: 3\r\n\r\n";
+    for pieces in [["", "abc"], ["a", "bc"], ["", "abc"]] {
+        for piece in [head, pieces[0], pieces[1]] {
+            conn.write_all(piece.as_bytes()).expect("written");
+            thread::sleep(Duration::from_millis(10));
+        }
+        until(&mut conn, "abc");
+    }
+    conn.write_all(head.as_bytes()).expect("written");
+    assert_refused(&rest(&mut conn), 408, "request_cut");
+}
+
 #[test]
 fn read_chunk_size_without_end() {
     let server = echo(Bounds {
