--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -25,6 +25,8 @@
 #[derive(Debug)]
 pub struct Conn {
     stream: Arc<TcpStream>,
+    /// Longest wait for bytes that the socket was last given.
+    limit: Duration,
     buffer: Vec<u8>,
     /// Bytes of interim answers that were taken off the buffer.
     interim: usize,
@@ -53,6 +55,7 @@
         stream.set_write_timeout(Some(WRITE_LIMIT))?;
         Ok(Self {
             stream: Arc::new(stream),
+            limit: Duration::ZERO,
             buffer: Vec::new(),
             interim: 0,
             taken: 0,
@@ -134,8 +137,7 @@
         let limit = limit.max(Duration::from_millis(1));
         let mut piece = [0; READ_SIZE];
         let read = self
-            .stream
-            .set_read_timeout(Some(limit))
+            .wait_at_most(limit)
             .and_then(|()| (&*self.stream).read(&mut piece));
         match read {
             Ok(n) => {
@@ -152,6 +154,15 @@
         }
     }
 
+    /// Bounds the wait for bytes; the socket is told only when that changes.
+    fn wait_at_most(&mut self, limit: Duration) -> io::Result<()> {
+        if self.limit != limit {
+            self.stream.set_read_timeout(Some(limit))?;
+            self.limit = limit;
+        }
+        Ok(())
+    }
+
     fn parse_head(&mut self) -> Result<Option<Head>, ReadError> {
         loop {
             let Some((head, size)) = parse(&self.buffer)? else {
