--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,6 +1,6 @@
 //! The client, on `ureq`.
 
-use super::{filter::Filter, resolver::IpResolver};
+use super::{agents::Agents, bounded::BoundedConnector, filter::Filter, resolver::IpResolver};
 use std::{
     fmt,
     io::{self, BufRead, BufReader, Read},
@@ -12,19 +12,15 @@
     Agent, Body, BodyReader,
     config::{AutoHeaderValue, Config},
     http::Response,
-    unversioned::transport::DefaultConnector,
+    unversioned::transport::{Connector, DefaultConnector},
 };
 
 /// Buffer for each direction of a connection in bytes. The library's default is 128 KB.
 const BUFFER: usize = 8 * 1024;
-/// Idle connections kept for each address.
-const IDLE_CONNS: usize = 64;
-/// Idle connections kept in all.
-const ALL_IDLE: usize = 512;
 /// Longest time that an idle connection is kept; shorter than any server's.
-const IDLE_AGE: Duration = Duration::from_secs(15);
-/// Most bytes in a whole reply.
-const REPLY_MAX: u64 = 256 * 1024 * 1024;
+pub(super) const IDLE_AGE: Duration = Duration::from_secs(15);
+/// Most bytes in an answer, where nothing else is said.
+const REPLY_MAX: u64 = 64 << 20;
 
 /// Time limits of one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,9 +48,11 @@
 /// Sends requests; clones share connections and cut addresses.
 #[derive(Debug, Clone)]
 pub struct Client {
-    pooled: Agent,
+    pooled: Arc<Agents>,
     fresh: Agent,
     filter: Arc<Filter>,
+    /// Most bytes in an answer.
+    reply: u64,
 }
 
 /// A whole answer.
@@ -103,10 +101,16 @@
 impl Client {
     /// A client without connections.
     pub fn new() -> Self {
+        Self::bounded(REPLY_MAX)
+    }
+
+    /// A client that takes `reply` bytes of an answer at most, its head and framing included.
+    pub fn bounded(reply: u64) -> Self {
         Self {
-            pooled: agent(IDLE_CONNS),
-            fresh: agent(0),
+            pooled: Arc::new(Agents::new(reply)),
+            fresh: agent(0, reply),
             filter: Arc::default(),
+            reply,
         }
     }
 
@@ -138,7 +142,10 @@
         body: &[u8],
         limits: Timeouts,
     ) -> Result<Reply, SendError> {
-        self.whole(&self.pooled, method, url, fields, body, limits)
+        let addr = self.filter.pass(url, limits.connect)?;
+        // Without an address the call fails before it connects.
+        let agent = addr.map_or_else(|| self.fresh.clone(), |a| self.pooled.get(a));
+        self.whole(addr, run(&agent, method, url, fields, body, limits))
     }
 
     /// Like `call`, on a connection that no earlier request used: a pooled one that the server
@@ -154,20 +161,17 @@
         body: &[u8],
         limits: Timeouts,
     ) -> Result<Reply, SendError> {
-        self.whole(&self.fresh, method, url, fields, body, limits)
+        let addr = self.filter.pass(url, limits.connect)?;
+        self.whole(addr, run(&self.fresh, method, url, fields, body, limits))
     }
 
+    /// The whole answer of the server at `addr`.
     fn whole(
         &self,
-        agent: &Agent,
-        method: &str,
-        url: &str,
-        fields: &[(&str, &str)],
-        body: &[u8],
-        limits: Timeouts,
+        addr: Option<SocketAddr>,
+        response: Result<Response<Body>, SendError>,
     ) -> Result<Reply, SendError> {
-        let addr = self.filter.pass(url, limits.connect)?;
-        let reply = read_reply(run(agent, method, url, fields, body, limits)?)?;
+        let reply = read_reply(response?, self.reply)?;
         self.filter.arrive(addr)?;
         Ok(reply)
     }
@@ -243,7 +247,7 @@
 
 /// An agent that keeps `idle` connections for each address. One that keeps some is for short
 /// messages and sends no header fields of its own beyond those that HTTP asks for.
-fn agent(idle: usize) -> Agent {
+pub(super) fn agent(idle: usize, reply: u64) -> Agent {
     let product = if idle == 0 {
         AutoHeaderValue::Provided(Arc::new("gooseberrytack".into()))
     } else {
@@ -255,13 +259,14 @@
         .proxy(None)
         .input_buffer_size(BUFFER)
         .output_buffer_size(BUFFER)
-        .max_idle_connections(if idle == 0 { 0 } else { ALL_IDLE })
+        .max_idle_connections(idle)
         .max_idle_connections_per_host(idle)
         .max_idle_age(IDLE_AGE)
         .user_agent(product)
         .accept(AutoHeaderValue::None)
         .build();
-    Agent::with_parts(config, DefaultConnector::new(), IpResolver)
+    let connector = DefaultConnector::new().chain(BoundedConnector { limit: reply });
+    Agent::with_parts(config, connector, IpResolver)
 }
 
 fn run(
@@ -312,7 +317,7 @@
         .build()
 }
 
-fn read_reply(response: Response<Body>) -> Result<Reply, SendError> {
+fn read_reply(response: Response<Body>, limit: u64) -> Result<Reply, SendError> {
     let status = response.status().as_u16();
     let fields = response
         .headers()
@@ -322,7 +327,7 @@
     let body = response
         .into_body()
         .into_with_config()
-        .limit(REPLY_MAX)
+        .limit(limit)
         .read_to_vec()
         .map_err(|e| SendError {
             sent: true,
