A question that waits at a gate ends when the server leaves

Cause: the gate looked whether the server leaves before a question waited, not after. Change: the gate looks again at each wake and each 500 ms; the place and a slot granted meanwhile are given back. Test: platform/tests/leaving::leaving_while_question_waits_grants_nothing; leaving 6, gate_queue 16, online_priority 6, partition_gates 2 pass.

--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -21,6 +21,8 @@
 
 /// Longest time that one answer waits for a free slot.
 pub const WAIT_MAX: Duration = Duration::from_millis(2500);
+/// Longest time for which a question waits without a look at whether the server leaves.
+const LEAVING_LOOK: Duration = Duration::from_millis(500);
 /// Longest time for a cancel at a server.
 const CANCEL_LIMIT: Duration = Duration::from_millis(500);
 /// Longest time without a look at whether there is something to cancel.
@@ -88,6 +90,12 @@
     }
 }
 
+/// The server `name`, unless it is gone or leaves.
+fn staying(host: &Host, name: &str) -> Option<Server> {
+    let server = host.config.view(|s| s.server(name).cloned());
+    server.filter(|s| !s.leaving && !host.routes.departures.has(s))
+}
+
 impl Queues {
     /// Answers a question for a slot; waits up to its limit while none is free.
     pub(super) fn acquire(&self, host: &Host, call: &Acquire) -> Admission {
@@ -97,9 +105,7 @@
         {
             return Admission::Moved(owner);
         }
-        let server = host.config.view(|s| s.server(&call.server).cloned());
-        let departures = &host.routes.departures;
-        let Some(server) = server.filter(|s| !s.leaving && !departures.has(s)) else {
+        let Some(server) = staying(host, &call.server) else {
             return Admission::Closed;
         };
         let Ask { model, adapter, .. } = &call.ask;
@@ -124,7 +130,11 @@
         self.follow(&gate, &inner, turn);
         if verdict == Verdict::Waiting {
             let end = host.now() + call.wait.min(WAIT_MAX);
-            (inner, verdict) = self.wait(host, &gate, inner, &call.ask, weight, end);
+            let waited = self.wait(host, &gate, inner, call, weight, end);
+            let Some((then, answer)) = waited else {
+                return Admission::Closed;
+            };
+            (inner, verdict) = (then, answer);
         }
         Admission::Answered {
             verdict,
@@ -133,34 +143,45 @@
         }
     }
 
+    /// Waits for a slot until `end`; `None` if the server takes no new work any more.
     fn wait<'a>(
         &self,
         host: &Host,
         gate: &'a Arc<Gate>,
         mut inner: MutexGuard<'a, Inner>,
-        ask: &Ask,
+        call: &Acquire,
         weight: u32,
         end: Time,
-    ) -> (MutexGuard<'a, Inner>, Verdict) {
+    ) -> Option<(MutexGuard<'a, Inner>, Verdict)> {
+        let ask = &call.ask;
         let wake = Arc::new(Condvar::new());
         inner.waiters.push(Waiter {
             id: ask.id.clone(),
             wake: wake.clone(),
         });
-        let mut verdict = Verdict::Waiting;
-        while verdict == Verdict::Waiting {
+        let mut answer = Some(Verdict::Waiting);
+        while answer == Some(Verdict::Waiting) {
             inner.queue.keep(&ask.id, end);
             let left = end.saturating_sub(host.now());
             if left.is_zero() || host.is_dead() {
                 break;
             }
-            inner = wake.wait_timeout(inner, left).expect("gate").0;
+            inner = wake
+                .wait_timeout(inner, left.min(LEAVING_LOOK))
+                .expect("gate")
+                .0;
             let turn;
-            (verdict, turn) = inner.queue.ask(host.now(), ask, weight, true);
+            (answer, turn) = if staying(host, &call.server).is_some() {
+                let (verdict, turn) = inner.queue.ask(host.now(), ask, weight, true);
+                (Some(verdict), turn)
+            } else {
+                inner.queue.leave(&ask.id);
+                (None, inner.queue.release(host.now(), &ask.id, 0))
+            };
             self.follow(gate, &inner, turn);
         }
         inner.waiters.retain(|w| !Arc::ptr_eq(&w.wake, &wake));
-        (inner, verdict)
+        answer.map(|verdict| (inner, verdict))
     }
 
     /// Takes slots back and returns the servers' counts.
