--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -20,7 +20,7 @@
 };
 
 /// Longest time that one answer waits for a free slot.
-pub const WAIT_MAX: Duration = Duration::from_millis(2500);
+pub const WAIT_MAX: Duration = Duration::from_millis(500);
 /// Longest time for which a question waits without a look at whether the server leaves.
 const LEAVING_LOOK: Duration = Duration::from_millis(500);
 /// Longest time for a cancel at a server.
--- a/src/route/acquire.rs
+++ b/src/route/acquire.rs
@@ -11,9 +11,9 @@
 use std::{sync::atomic::Ordering, thread, time::Duration};
 
 /// How long one question of batch work waits at a gate.
-const BATCH_ROUND: Duration = Duration::from_millis(2500);
+const BATCH_ROUND: Duration = Duration::from_millis(500);
 /// Rounds that batch work waits at one server before it looks at the others again.
-const BATCH_ROUNDS: u32 = 2;
+const BATCH_ROUNDS: u32 = 6;
 /// Time after which batch work without a slot is given back.
 const BATCH_PATIENCE: Duration = Duration::from_secs(5);
 /// Pause when no gate answers or no server takes work.
