Log what the lost attempts of forwarded requests had in common

The log had a line for each lost attempt, with its server, but nothing told whether the requests had anything in common, so three hypotheses could not be told apart: servers that crash by themselves, one request that is retried from server to server, or one part of many prompts.

A dialect now names the segments of a request's prompt that other requests may share, and answer_cut has them, the start of the server, and whether the answer had begun.

--- a/src/pass/mod.rs
+++ b/src/pass/mod.rs
@@ -97,4 +97,6 @@
     pub read: fn(&Head, &str) -> Verdict,
     /// Whether the head of an answer says that the server is leaving.
     pub leaves: fn(&Head) -> bool,
+    /// Ids of the prompt segments that a request names and that other requests may share.
+    pub segments: fn(&Request) -> Vec<Name>,
 }
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -68,8 +68,11 @@
             && matches!(fail.kind, Kind::BrokenAnswer | Kind::ServerLost)
         {
             let (id, server) = (&*slot.id, &*slot.server);
-            let bytes = conn.received();
-            tracing::info!(id, server, bytes, cause = &*fail.text, "answer_cut");
+            let (bytes, start) = (conn.received(), attempt.start);
+            let has_begun = attempt.first.is_some();
+            let segments = (dialect.segments)(request).join(",");
+            let cause = &*fail.text;
+            tracing::info!(id, server, start, bytes, has_begun, segments, cause, "answer_cut");
         }
         result
     }
