--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -72,7 +72,16 @@
             let has_begun = attempt.first.is_some();
             let segments = (dialect.segments)(request).join(",");
             let cause = &*fail.text;
-            tracing::info!(id, server, start, bytes, has_begun, segments, cause, "answer_cut");
+            tracing::info!(
+                id,
+                server,
+                start,
+                bytes,
+                has_begun,
+                segments,
+                cause,
+                "answer_cut"
+            );
         }
         result
     }
