Quarantine prompt segments that crash backend servers

Cause: a lost server was a fault of that server alone. The request went on to the next one, and no host saw enough of the losses to tell what they had in common.

Change: a host that loses a server before the first event of an answer checks that the server has ended (it refuses connections) and reports the segments of the request that it did not see answered within 5 s to the two hosts in charge of each segment. These convict a segment under which three servers ended one after the other, or five in any order, unless a host reports an answer first. The conviction is a record of a stream of its own, which all hosts follow. The same stream arbitrates probes: one for the whole fleet, 15 s after the conviction and then at doubled intervals; and any host that saw an answer with the segment lifts it. Batch items wait for the end of the quarantine.

Why it works: an answer that begins proves all its segments sound, so that segments in common use are never reported, and a segment that was convicted along with the one at fault is lifted by its first answer; a request without the other one may be sent as a probe at once. What ends many servers at the same moment counts once. A connection that is cut, or a machine that is away, does not refuse connections.

--- a/src/batch/verdict.rs
+++ b/src/batch/verdict.rs
@@ -16,6 +16,9 @@
 /// Pause after an uncharged try whose error names no time.
 const FULL_PAUSE: Duration = Duration::from_millis(50);
 
+/// Pause before an item with a segment in quarantine is tried again.
+const QUARANTINE_PAUSE: Duration = Duration::from_secs(2);
+
 /// What to do with an item after a try.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Verdict {
@@ -52,6 +55,7 @@
         | Kind::TooLarge
         | Kind::Forbidden
         | Kind::ServerRefused => Verdict::End(failed(&fail, fail.text.to_string())),
+        Kind::Quarantined => wait_for_quarantine(),
         kind if kind.row().ran == Ran::No => Verdict::Retry {
             pause: fail.after.unwrap_or(FULL_PAUSE).min(PAUSE_MAX),
             is_charged: false,
@@ -92,6 +96,11 @@
             pause: PAUSE,
             is_charged: true,
         },
+        Kind::Quarantined => wait_for_quarantine(),
+        Kind::ServerLost => Verdict::Retry {
+            pause: PAUSE,
+            is_charged: false,
+        },
         _ => Verdict::Retry {
             pause: fail.after.unwrap_or(FULL_PAUSE).min(PAUSE),
             is_charged: false,
@@ -99,6 +108,14 @@
     }
 }
 
+/// The item waits until the quarantine of its segment ends, or until it may be the probe.
+fn wait_for_quarantine() -> Verdict {
+    Verdict::Retry {
+        pause: QUARANTINE_PAUSE,
+        is_charged: false,
+    }
+}
+
 fn failed(fail: &Fail, text: String) -> Outcome {
     Outcome::Failed {
         code: fail.kind.row().code.into(),
--- a/src/error/table.rs
+++ b/src/error/table.rs
@@ -43,7 +43,7 @@
 
 impl Kind {
     /// All kinds, in declaration order.
-    pub const ALL: [Kind; 30] = [
+    pub const ALL: [Kind; 31] = [
         Kind::BadRequest,
         Kind::RequestCut,
         Kind::Unauthorized,
@@ -71,6 +71,7 @@
         Kind::BrokenAnswer,
         Kind::KeyWithdrawn,
         Kind::Preempted,
+        Kind::Quarantined,
         Kind::Cancelled,
         Kind::OutcomeUnknown,
         Kind::Internal,
@@ -106,6 +107,7 @@
             Kind::BrokenAnswer => row(502, "broken_answer", Ran::Yes, SOON),
             Kind::KeyWithdrawn => row(401, "key_withdrawn", Ran::Yes, None),
             Kind::Preempted => row(503, "preempted", Ran::Yes, SOON),
+            Kind::Quarantined => row(422, "quarantined", Ran::No, None),
             Kind::Cancelled => row(409, "cancelled", Ran::Unknown, None),
             Kind::OutcomeUnknown => row(502, "outcome_unknown", Ran::Unknown, None),
             Kind::Internal => row(500, "internal", Ran::Unknown, None),
--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -21,8 +21,6 @@
     time::Duration,
 };
 
-/// Time that a read of the log waits for new records.
-const READ_WAIT: Duration = Duration::from_millis(500);
 /// Pause after a failed read or append; doubles with each consecutive failed read.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Maximum pause after a failed read.
@@ -266,14 +264,14 @@
         let began = self.clock.now();
         let page = self
             .log
-            .read(&self.stream, self.progress().next, READ_WAIT)?;
+            .read(&self.stream, self.progress().next, F::READ_WAIT)?;
         if page.first > self.progress().next {
             self.restore(page.first)?;
         }
         // An empty page after a full wait shows that there was nothing new until the wait ended.
-        let has_waited = self.clock.now().saturating_sub(began) >= READ_WAIT;
+        let has_waited = self.clock.now().saturating_sub(began) >= F::READ_WAIT;
         let current_at = match page.entries.is_empty() && has_waited {
-            true => began + READ_WAIT,
+            true => began + F::READ_WAIT,
             false => began,
         };
         if self.apply(&page, current_at) {
--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -8,6 +8,7 @@
 pub use frame::{AppendOutcome, Ticket, decode_frame};
 
 use serde::{Serialize, de::DeserializeOwned};
+use std::time::Duration;
 
 /// Position of a record in a stream: `offset << 16 | index in the log record`.
 ///
@@ -40,6 +41,9 @@
     /// Name of the stream in the log, unless several streams have this type.
     const STREAM: &'static str;
 
+    /// Time that a read of the log waits for new records.
+    const READ_WAIT: Duration = Duration::from_millis(500);
+
     /// Applies the record at `at`. Positions increase from call to call.
     fn apply(&mut self, at: Pos, rec: &Self::Record);
 }
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -22,6 +22,7 @@
     once::Calls,
     order::Orders,
     pass::{AttemptRegistry, Dialect},
+    quarantine::{Quarantine, Segments},
     route::Routes,
     settings::Settings,
     snapshot::Snapshots,
@@ -51,6 +52,8 @@
 pub type HomesFollower = Follow<Homes>;
 /// Follower of the records of calls that run at most once.
 pub type CallsFollower = Follow<Calls>;
+/// Follower of the quarantine of prompt segments.
+pub type QuarantineFollower = Follow<Quarantine>;
 
 /// One host with all its roles.
 #[derive(Debug)]
@@ -75,6 +78,10 @@
     pub homes: HomesFollower,
     /// Follower of the calls that run at most once.
     pub calls: CallsFollower,
+    /// Follower of the quarantine of prompt segments.
+    pub quarantine: QuarantineFollower,
+    /// What this host knows of prompt segments by itself and from reports.
+    pub segments: Segments,
     /// Membership: the other hosts and whether they answer.
     pub members: Members,
     /// Admission to the backend servers.
@@ -178,6 +185,8 @@
             config: follow(&relay, &clock, &settings),
             homes: follow(&relay, &clock, &settings),
             calls: follow(&relay, &clock, &settings),
+            quarantine: follow(&relay, &clock, &settings),
+            segments: Segments::default(),
             members: Members::new(&me, &settings),
             gates: Gates::default(),
             routes: Routes::new(settings.retries),
@@ -228,6 +237,7 @@
         }
         host.batch.start(&host);
         host.homes.start();
+        host.quarantine.start();
         let other = match host.is_own() {
             true => On::Outside,
             false => On::Own,
@@ -286,7 +296,7 @@
     }
 
     /// Sleeps for `span`, or until the host is dead.
-    pub(super) fn sleep(&self, span: Duration) {
+    pub(crate) fn sleep(&self, span: Duration) {
         if span.is_zero() {
             return;
         }
@@ -339,6 +349,7 @@
         self.config.stop();
         self.batch.streams.kill();
         self.homes.stop();
+        self.quarantine.stop();
         self.calls.stop();
         for server in self.servers.lock().expect("servers").iter() {
             server.kill();
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -13,7 +13,9 @@
 
 pub use call::{Call, serve_call};
 pub use edges::{Edges, Outside};
-pub use host::{CallsFollower, ConfigFollower, Follow, HomesFollower, Host, JobFollower};
+pub use host::{
+    CallsFollower, ConfigFollower, Follow, HomesFollower, Host, JobFollower, QuarantineFollower,
+};
 pub use relay::{RelayLog, neighbours};
 pub use router::Router;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod once;
 pub mod order;
 pub mod pass;
+pub mod quarantine;
 pub mod retry;
 pub mod route;
 pub mod settings;
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -29,6 +29,11 @@
     code: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SegmentLabel {
+    segment: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PathLabel {
     path: &'static str,
@@ -41,6 +46,7 @@
     events: Family<EventLabel, Counter>,
     refused: Family<CodeLabel, Counter>,
     calls: Family<PathLabel, Counter>,
+    quarantine: Family<SegmentLabel, Gauge>,
     batch: Counter,
     unrelayed: Counter,
     first: Histogram,
@@ -78,6 +84,7 @@
             events: Family::default(),
             refused: Family::default(),
             calls: Family::default(),
+            quarantine: Family::default(),
             batch: Counter::default(),
             unrelayed: Counter::default(),
             first: histogram(),
@@ -100,6 +107,8 @@
             self.refused.clone(),
         );
         to.register("calls", "Calls sent to other hosts", self.calls.clone());
+        let help = "Time since each prompt segment was put in quarantine";
+        to.register_with_unit("quarantine", help, Unit::Seconds, self.quarantine.clone());
         to.register("batch_tokens", "Batch tokens generated", self.batch.clone());
         let help = "Calls to a lost log that no peer could relay";
         to.register("log_helpless", help, self.unrelayed.clone());
@@ -151,6 +160,16 @@
         self.calls.get_or_create(&PathLabel { path }).inc();
     }
 
+    /// Sets the prompt segments in quarantine, with the time since each was.
+    pub fn quarantine<'a>(&self, segments: impl Iterator<Item = (&'a str, Duration)>) {
+        self.quarantine.clear();
+        for (segment, age) in segments {
+            let segment = segment.to_string();
+            let gauge = self.quarantine.get_or_create(&SegmentLabel { segment });
+            gauge.set(age.as_secs() as i64);
+        }
+    }
+
     /// Counts a batch token.
     pub fn batch_token(&self) {
         self.batch.inc();
--- a/src/pass/forward.rs
+++ b/src/pass/forward.rs
@@ -209,8 +209,8 @@
     let row = kind.row();
     match (row.status, row.ran) {
         (408 | 421 | 429 | 503, Ran::Yes | Ran::Unknown) => 504,
-        // Nothing ran, so the caller may retry.
-        (504, Ran::No) => 503,
+        // Nothing ran, and only these statuses promise it.
+        (504 | 422, Ran::No) => 503,
         (status, _) => status,
     }
 }
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -53,6 +53,9 @@
             let text = "the backend server is leaving and takes no new work";
             return Err(Abort::Failed(Fail::new(Kind::Unreachable, text)));
         }
+        if let Err(fail) = self.permit_segments() {
+            return Err(Abort::Final(self.final_fail(fail)));
+        }
         let mut attempt = Attempt {
             addr: server.addr,
             start: server.start,
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -6,6 +6,7 @@
     error::{Fail, Kind, Ran, Res},
     kernel::Host,
     pass::{Event, Head},
+    quarantine::{Admission, Permit},
     retry::{self, Next},
     timeline::Happening,
     wire::{Answer, Class, Name, Work},
@@ -88,6 +89,12 @@
     /// Attempts of a forwarded request that a server may have run.
     pub(super) sent: u32,
     pub(super) admitted: bool,
+    /// Prompt segments of the request that others may share.
+    pub(super) segments: Vec<Name>,
+    /// Right to send it although segments of it are in quarantine.
+    pub(super) permit: Option<Permit>,
+    /// Whether the last attempt lost its server before the answer began.
+    pub(super) lost_early: bool,
     /// Failed attempts that count against the retries.
     failures: u32,
     /// Position from which no server has run the work, and since when.
@@ -116,6 +123,9 @@
         asks: 0,
         sent: 0,
         admitted: false,
+        segments: segments_of(host, work),
+        permit: None,
+        lost_early: false,
         failures: 0,
         not_run: None,
         tried: Vec::new(),
@@ -133,6 +143,8 @@
 impl<S: Sink> Run<'_, S> {
     fn run(&mut self) -> Res<Answer> {
         loop {
+            self.refuse_quarantined()
+                .map_err(|fail| self.final_fail(fail))?;
             let slot = self.acquire().map_err(|fail| self.final_fail(fail))?;
             self.sink.slot(true);
             match self.attempt(slot) {
@@ -150,13 +162,17 @@
         if self.work.request.is_some() && fail.kind.row().ran == Ran::No {
             return self.wait_after_not_run(fail);
         }
+        if self.permit.is_some() {
+            return Err(self.final_fail(fail));
+        }
         self.failures += 1;
         let next = match &self.work.request {
             Some(request) => {
                 let may_send = match self.work.class {
                     Class::Online => self.sent < request.attempts,
-                    // The job counts each failed answer of a batch item by itself.
-                    Class::Batch => fail.kind != Kind::ServerFailed,
+                    // The job counts each failed answer of a batch item by itself, and waits before
+                    // an item that may have crashed its server is tried again.
+                    Class::Batch => fail.kind != Kind::ServerFailed && !self.lost_early,
                 };
                 retry::decide_forwarded(fail.kind, self.work.repeatable, self.failures, may_send)
             }
@@ -193,6 +209,32 @@
         Ok(())
     }
 
+    /// Fails if a segment of the prompt is in quarantine and not due for a probe.
+    fn refuse_quarantined(&self) -> Res<()> {
+        if self.permit.is_some() {
+            return Ok(());
+        }
+        match self.host.admit_segments(&self.segments) {
+            Admission::Refused(fail) => Err(fail),
+            Admission::Free | Admission::Probe(_) => Ok(()),
+        }
+    }
+
+    /// Like `refuse_quarantined`, right before the request is sent; claims a probe that is due.
+    pub(super) fn permit_segments(&mut self) -> Res<()> {
+        if self.permit.is_some() {
+            return Ok(());
+        }
+        match self.host.admit_segments(&self.segments) {
+            Admission::Free => Ok(()),
+            Admission::Refused(fail) => Err(fail),
+            Admission::Probe(entries) => {
+                self.permit = Some(self.host.claim_probe(&entries)?);
+                Ok(())
+            }
+        }
+    }
+
     /// Lets preempted batch work resume from its position, unless the host stops.
     fn resume_preempted(&mut self) -> Res<()> {
         let fail = Fail::new(Kind::Preempted, "the work was preempted by online requests");
@@ -203,7 +245,13 @@
         Ok(())
     }
 
-    fn final_fail(&self, fail: Fail) -> Fail {
+    pub(super) fn final_fail(&self, fail: Fail) -> Fail {
+        if fail.kind == Kind::Quarantined
+            && let Some(earlier) = &self.earlier
+        {
+            let text = format!("{}; not tried again: {}", earlier.text, fail.text);
+            return Fail::new(earlier.kind, text);
+        }
         let earlier = self.earlier.as_ref();
         let is_preempted = earlier.is_some_and(|e| e.kind == Kind::Preempted);
         if self.work.class == Class::Batch && is_preempted && fail.kind != Kind::Cancelled {
@@ -212,3 +260,10 @@
         retry::final_fail(fail, earlier, self.work.repeatable)
     }
 }
+
+fn segments_of(host: &Host, work: &Work) -> Vec<Name> {
+    match (host.dialect, &work.request) {
+        (Some(dialect), Some(request)) => (dialect.segments)(request),
+        _ => Vec::new(),
+    }
+}
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -12,6 +12,7 @@
         AttemptContext, Conn, Dialect, Event, Events, Head, ReadError, Registration, Request,
         Verdict,
     },
+    quarantine::LostAttempt,
     timeline::Happening,
     wire::{Answer, Class},
 };
@@ -60,6 +61,7 @@
         };
         let fields = (dialect.fields)(&context);
         self.sent += 1;
+        self.lost_early = false;
         let result = match conn.send(&head_text(request, &fields), &request.body) {
             Ok(()) => self.read_answer(slot, attempt, request, dialect, &mut conn, &entry),
             Err(e) => Err(self.lost(&format!("the request was cut: {e}"), entry.is_ended())),
@@ -70,7 +72,7 @@
             let (id, server) = (&*slot.id, &*slot.server);
             let (bytes, start) = (conn.received(), attempt.start);
             let has_begun = attempt.first.is_some();
-            let segments = (dialect.segments)(request).join(",");
+            let segments = self.segments.join(",");
             let cause = &*fail.text;
             tracing::info!(
                 id,
@@ -82,10 +84,27 @@
                 cause,
                 "answer_cut"
             );
+            if fail.kind == Kind::ServerLost && !has_begun {
+                self.lost_early = true;
+                self.note_lost(slot, attempt);
+            }
         }
         result
     }
 
+    /// Records that the server was lost before the answer began, for the quarantine of segments.
+    fn note_lost(&self, slot: &Slot, attempt: &Attempt) {
+        self.host.note_lost(LostAttempt {
+            id: slot.id.clone(),
+            segments: self.segments.clone(),
+            server: slot.server.clone(),
+            addr: attempt.addr,
+            start: attempt.start,
+            sent: attempt.began,
+            lost: self.host.now(),
+        });
+    }
+
     /// Reads the answer and passes it back.
     fn read_answer(
         &mut self,
@@ -161,6 +180,7 @@
                     attempt.first = Some(self.host.now());
                     let timeline = &self.host.timeline;
                     timeline.note(Happening::FirstToken, &slot.id, None, &slot.server);
+                    self.host.note_answered(&self.segments, &slot.id);
                 }
                 has_event = true;
                 if !empty.is_empty() {
@@ -256,6 +276,7 @@
             }
         }
         if head.status < 400 {
+            self.host.note_answered(&self.segments, &slot.id);
             self.sink.whole(head, &body).map_err(Abort::Final)?;
             return Ok(self.answer(slot));
         }
--- a/src/snapshot/task.rs
+++ b/src/snapshot/task.rs
@@ -27,6 +27,7 @@
             Task { name: "snap_jobs", every: CHECK_EVERY, run: check_jobs, waits: true, on: On::Own },
             Task { name: "snap_homes", every: CHECK_EVERY, run: |h| check(h, &h.homes, &h.snapshots.homes), waits: true, on: On::Own },
             Task { name: "snap_calls", every: CHECK_EVERY, run: |h| check(h, &h.calls, &h.snapshots.calls), waits: true, on: On::Own },
+            Task { name: "snap_quarantine", every: CHECK_EVERY, run: |h| check(h, &h.quarantine, &h.snapshots.quarantine), waits: true, on: On::Own },
         ],
         stop: |_| {},
     }
@@ -41,6 +42,7 @@
     config: Mutex<LastSnapshot>,
     homes: Mutex<LastSnapshot>,
     calls: Mutex<LastSnapshot>,
+    quarantine: Mutex<LastSnapshot>,
 }
 
 fn check_jobs(host: &Arc<Host>) {
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -69,6 +69,14 @@
     TakenBack,
     /// A server announced that it is leaving.
     ServerLeaves,
+    /// A host in charge of a prompt segment took a report on it.
+    SegmentSuspected,
+    /// A prompt segment was put in quarantine.
+    SegmentQuarantined,
+    /// A request with a segment in quarantine was sent as a probe.
+    SegmentProbed,
+    /// The quarantine of a prompt segment ended.
+    SegmentReleased,
     /// A load or unload order was sent to a server.
     Ordered,
     /// A snapshot was written.
