--- a/tests/quarantine_decide.rs
+++ b/tests/quarantine_decide.rs
@@ -7,7 +7,7 @@
     wire::Name,
 };
 use proptest::prelude::*;
-use std::time::Duration;
+use std::{slice, time::Duration};
 
 fn ms(n: u64) -> Time {
     Duration::from_millis(n)
@@ -121,12 +121,15 @@
 fn witness_answered_segment_is_not_reported() {
     let mut witness = Witness::default();
     let (base, rare): (Name, Name) = ("base".into(), "rare".into());
-    assert_eq!(witness.answered(&[base.clone()], ms(0)), []);
+    assert_eq!(witness.answered(slice::from_ref(&base), ms(0)), []);
     let both = [base.clone(), rare.clone()];
-    assert_eq!(witness.lost(&both, ms(1_000)), [rare.clone()]);
+    assert_eq!(witness.lost(&both, ms(1_000)), slice::from_ref(&rare));
     // The answer is too old to clear the segment.
     assert_eq!(witness.lost(&both, ms(9_000)), both);
-    assert_eq!(witness.answered(&[rare.clone()], ms(9_100)), [rare.clone()]);
+    assert_eq!(
+        witness.answered(slice::from_ref(&rare), ms(9_100)),
+        slice::from_ref(&rare)
+    );
     assert_eq!(witness.answered(&[rare], ms(9_200)), [], "told once");
     assert!(witness.is_proven_since("rare", ms(9_150)));
     assert!(!witness.is_proven_since("base", ms(0)));
@@ -137,7 +140,7 @@
     let mut witness = Witness::default();
     for n in 0..20_000u64 {
         let segment: Name = format!("new-{n}").into();
-        witness.lost(&[segment.clone()], ms(n));
+        witness.lost(slice::from_ref(&segment), ms(n));
         witness.answered(&[segment], ms(n));
     }
     assert!(witness.len() <= 2048);
