A probe of a segment reaches one server

A probe that a server rejected, or that was preempted, could be sent to another server under the same claim, so that one probe of the fleet reached two servers. It now ends as any lost probe does; only a server that could not be reached is replaced.

--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -159,12 +159,13 @@
 
     /// Prepares another attempt after a failed one, or returns the final error.
     fn recover(&mut self, fail: Fail) -> Res<()> {
+        // A probe reaches one server.
+        if self.permit.is_some() && fail.kind != Kind::Unreachable {
+            return Err(self.final_fail(fail));
+        }
         if self.work.request.is_some() && fail.kind.row().ran == Ran::No {
             return self.wait_after_not_run(fail);
         }
-        if self.permit.is_some() {
-            return Err(self.final_fail(fail));
-        }
         self.failures += 1;
         let next = match &self.work.request {
             Some(request) => {
@@ -242,6 +243,7 @@
             return Err(fail);
         }
         self.earlier = Some(fail);
+        self.permit = None;
         Ok(())
     }
 
