Quarantine: the board of one host is a plain decision with tests

What a host knows of the quarantine, when a probe is due and what is refused ahead of the log were methods that needed a running host. They are in board.rs now, take the time as an argument and are tested on their intervals and bounds. The board is locked after the folded state everywhere: the other order could deadlock with a writer that waits for the state.

--- /dev/null
+++ b/src/quarantine/board.rs
@@ -0,0 +1,185 @@
+//! What one host makes of the quarantine: since when it knows each entry, and which requests it admits.
+
+use super::{Admission, Entry, Quarantine, admit};
+use crate::{clock::Time, wire::Name};
+use std::time::Duration;
+
+/// Time from the conviction of a segment to its first probe; it doubles with each further probe.
+pub const PROBE_AFTER: Duration = Duration::from_secs(15);
+/// Longest time between two probes of a segment.
+pub const PROBE_AFTER_MAX: Duration = Duration::from_secs(3600);
+/// Time for which a segment is refused ahead of the log.
+const HOLD_TIME: Duration = Duration::from_secs(10);
+/// Most segments refused ahead of the log.
+const HOLDS_MAX: usize = 256;
+
+/// The quarantine as one host knows it.
+#[derive(Debug, Clone, Default)]
+pub struct Board {
+    /// Sorted by segment.
+    seen: Vec<Seen>,
+    /// Sorted by segment.
+    holds: Vec<Hold>,
+}
+
+/// An entry and when the host first saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seen {
+    /// The entry.
+    pub entry: Entry,
+    /// When it first had this state.
+    pub at: Time,
+    /// When the segment was first in this quarantine.
+    pub since: Time,
+}
+
+/// What became known of the quarantine.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Entries that are new, or that were probed.
+    pub noted: Vec<Seen>,
+    /// Entries that are gone.
+    pub released: Vec<Seen>,
+}
+
+/// A segment that is refused ahead of the log.
+#[derive(Debug, Clone)]
+struct Hold {
+    segment: Name,
+    since: Time,
+}
+
+impl Board {
+    /// Compares the folded quarantine with what was known.
+    pub fn observe(&mut self, state: &Quarantine, now: Time) -> Changes {
+        let mut changes = Changes::default();
+        if state.entries.is_empty() && self.seen.is_empty() {
+            return changes;
+        }
+        let before = std::mem::take(&mut self.seen);
+        for entry in &state.entries {
+            let old = before.iter().find(|s| s.is_same(entry));
+            let seen = match old {
+                Some(old) if old.entry.last == entry.last => old.clone(),
+                old => {
+                    let seen = Seen {
+                        entry: entry.clone(),
+                        at: now,
+                        since: old.map_or(now, |o| o.since),
+                    };
+                    changes.noted.push(seen.clone());
+                    seen
+                }
+            };
+            self.seen.push(seen);
+        }
+        let is_gone = |s: &Seen| !state.entries.iter().any(|e| s.is_same(e));
+        changes.released = before.into_iter().filter(is_gone).collect();
+        changes
+    }
+
+    /// The entries as the host knows them, sorted by segment.
+    pub fn seen(&self) -> &[Seen] {
+        &self.seen
+    }
+
+    /// Decides on a request with `segments`; `state` is the folded quarantine.
+    pub fn admission(&self, state: &Quarantine, segments: &[Name], now: Time) -> Admission {
+        if let Some(segment) = segments.iter().find(|s| self.is_held(s, now)) {
+            return Admission::Refused(admit::hold_refusal(segment));
+        }
+        let entries: Vec<&Entry> = segments.iter().filter_map(|s| state.entry(s)).collect();
+        if entries.is_empty() {
+            return Admission::Free;
+        }
+        let is_due = |e: &&Entry| self.is_probe_due(state, e, segments, now);
+        if !entries.iter().all(is_due) {
+            return Admission::Refused(admit::refusal(&entries));
+        }
+        Admission::Probe(entries.into_iter().cloned().collect())
+    }
+
+    /// Whether a request with `segments` may probe `entry`.
+    fn is_probe_due(
+        &self,
+        state: &Quarantine,
+        entry: &Entry,
+        segments: &[Name],
+        now: Time,
+    ) -> bool {
+        if entry.probes == 0 && lacks_companion(state, entry, segments) {
+            return true;
+        }
+        let found = self
+            .seen
+            .binary_search_by(|s| s.entry.segment.cmp(&entry.segment));
+        let known = found.ok().map(|at| &self.seen[at]);
+        known.is_some_and(|s| {
+            s.entry.last == entry.last && now >= s.at + probe_interval(entry.probes)
+        })
+    }
+
+    /// Refuses `segments` for some time; returns those that were not refused ahead of the log before.
+    pub fn hold(&mut self, segments: &[Name], now: Time) -> Vec<Name> {
+        let mut fresh = Vec::new();
+        for segment in segments {
+            match self.find_hold(segment) {
+                Ok(at) => self.holds[at].since = now,
+                Err(_) if self.holds.len() >= HOLDS_MAX => {}
+                Err(at) => {
+                    let segment = segment.clone();
+                    fresh.push(segment.clone());
+                    self.holds.insert(
+                        at,
+                        Hold {
+                            segment,
+                            since: now,
+                        },
+                    );
+                }
+            }
+        }
+        fresh
+    }
+
+    /// Drops the holds that are over, and those of segments that were answered since.
+    pub fn drop_holds(&mut self, now: Time, is_answered: impl Fn(&str, Time) -> bool) {
+        self.holds.retain(|h| {
+            now.saturating_sub(h.since) < HOLD_TIME && !is_answered(&h.segment, h.since)
+        });
+    }
+
+    fn is_held(&self, segment: &str, now: Time) -> bool {
+        let found = self.find_hold(segment);
+        found.is_ok_and(|at| now.saturating_sub(self.holds[at].since) < HOLD_TIME)
+    }
+
+    fn find_hold(&self, segment: &str) -> Result<usize, usize> {
+        self.holds.binary_search_by(|h| (*h.segment).cmp(segment))
+    }
+}
+
+impl Seen {
+    /// Whether `entry` is a later state of the same quarantine.
+    fn is_same(&self, entry: &Entry) -> bool {
+        self.entry.segment == entry.segment && self.entry.since == entry.since
+    }
+}
+
+/// Whether the request lacks a segment that explains the conviction of `entry`: one under which all the
+/// same servers ended, so that at most one of the two need be at fault.
+fn lacks_companion(state: &Quarantine, entry: &Entry, segments: &[Name]) -> bool {
+    let explains = |other: &&Entry| {
+        let is_shared = |server: &Name| other.servers.contains(server);
+        other.segment != entry.segment && entry.servers.iter().all(is_shared)
+    };
+    let mut companions = state.entries.iter().filter(explains);
+    companions.any(|c| !segments.contains(&c.segment))
+}
+
+/// Time from a quarantine, or from its last probe, to the next one.
+fn probe_interval(probes: u32) -> Duration {
+    PROBE_AFTER
+        .saturating_mul(2u32.saturating_pow(probes))
+        .min(PROBE_AFTER_MAX)
+}
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
 //! docs/QUARANTINE.md weighs the ways and gives the reasons.
 
 mod admit;
+mod board;
 mod call;
 mod evidence;
 mod fold;
@@ -15,28 +16,20 @@
 mod witness;
 
 pub use admit::{Admission, Permit};
+pub use board::{Board, Changes, PROBE_AFTER, PROBE_AFTER_MAX, Seen};
 pub use evidence::{Evidence, Loss, Verdict};
 pub use fold::{Entry, Quarantine, Record};
 pub use report::LostAttempt;
 pub use witness::Witness;
 
-use crate::{clock::Time, wire::Name};
 use report::Outbox;
-use std::{
-    sync::{
-        Mutex, MutexGuard,
-        atomic::{AtomicBool, AtomicUsize},
-    },
-    time::Duration,
+use std::sync::{
+    Mutex, MutexGuard,
+    atomic::{AtomicBool, AtomicUsize},
 };
 
 /// Most segments of one request that are considered.
 pub const SEGMENTS_MAX: usize = 32;
-/// Time from the conviction of a segment to its first probe; it doubles with each further probe.
-pub const PROBE_AFTER: Duration = Duration::from_secs(15);
-/// Longest time between two probes of a segment.
-pub const PROBE_AFTER_MAX: Duration = Duration::from_secs(3600);
-
 /// What one host knows of segments, besides the folded log.
 #[derive(Debug, Default)]
 pub struct Segments {
@@ -44,10 +37,8 @@
     witness: Mutex<Witness>,
     /// Reports of all hosts on the segments that this host is in charge of.
     evidence: Mutex<Evidence>,
-    /// When this host first saw the present state of each quarantine; sorted by segment.
-    seen: Mutex<Vec<Seen>>,
-    /// Segments that are refused ahead of the log; sorted.
-    holds: Mutex<Vec<Hold>>,
+    /// The quarantine as this host knows it.
+    board: Mutex<Board>,
     /// Checks of lost servers that are under way.
     checks: AtomicUsize,
     /// What is still to be reported.
@@ -58,21 +49,6 @@
     is_convicting: AtomicBool,
 }
 
-/// When a host first saw the present state of a quarantine.
-#[derive(Debug, Clone)]
-struct Seen {
-    entry: Entry,
-    at: Time,
-    since: Time,
-}
-
-/// A segment that is refused ahead of the log.
-#[derive(Debug, Clone)]
-struct Hold {
-    segment: Name,
-    until: Time,
-}
-
 impl Segments {
     fn witness(&self) -> MutexGuard<'_, Witness> {
         self.witness.lock().expect("witness")
@@ -86,12 +62,8 @@
         self.outbox.lock().expect("outbox")
     }
 
-    fn seen(&self) -> MutexGuard<'_, Vec<Seen>> {
-        self.seen.lock().expect("seen quarantines")
-    }
-
-    fn holds(&self) -> MutexGuard<'_, Vec<Hold>> {
-        self.holds.lock().expect("holds")
+    fn board(&self) -> MutexGuard<'_, Board> {
+        self.board.lock().expect("board")
     }
 }
 
@@ -99,10 +71,3 @@
 fn segment_key(segment: &str) -> String {
     format!("segment/{segment}")
 }
-
-/// Time from a quarantine, or from its last probe, to the next one.
-fn probe_interval(probes: u32) -> Duration {
-    PROBE_AFTER
-        .saturating_mul(2u32.saturating_pow(probes))
-        .min(PROBE_AFTER_MAX)
-}
--- a/src/quarantine/task.rs
+++ b/src/quarantine/task.rs
@@ -2,7 +2,7 @@
 //! segments that this host saw answered.
 
 use super::{
-    Entry, Hold, Quarantine, Record, Seen, Segments, Verdict,
+    Changes, Entry, Quarantine, Record, Seen, Verdict,
     call::{HoldCall, Report},
     report::receive,
     witness::PROOF_TIME,
@@ -27,10 +27,6 @@
 const EVERY: Duration = Duration::from_millis(100);
 /// Longest wait for the log to record a quarantine.
 const IMPOSE_LIMIT: Duration = Duration::from_secs(1);
-/// Time for which a segment is refused ahead of the log.
-const HOLD_TIME: Duration = Duration::from_secs(10);
-/// Most segments refused ahead of the log.
-const HOLDS_MAX: usize = 256;
 /// Peers to which each host passes a hold on.
 const FANOUT: usize = 4;
 /// Time limit of a call to a peer.
@@ -57,7 +53,7 @@
 
 fn hold(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
     serve_call(host, exchange, |host, call: HoldCall| {
-        let fresh = host.segments.hold(&call.segments, host.now());
+        let fresh = host.segments.board().hold(&call.segments, host.now());
         if !fresh.is_empty() {
             tracing::info!(segments = fresh.join(","), "segments_held");
             let host = host.clone();
@@ -69,8 +65,7 @@
 }
 
 fn run(host: &Arc<Host>) {
-    update_seen(host);
-    host.segments.drop_holds(host.now());
+    update_board(host);
     let verdicts = host.segments.evidence().verdicts(host.now());
     if verdicts.is_empty() || host.segments.is_convicting.swap(true, Ordering::Relaxed) {
         return;
@@ -113,7 +108,7 @@
 
 fn hold_everywhere(host: &Host, verdicts: &[Verdict]) {
     let segments: Vec<Name> = verdicts.iter().map(|v| v.segment.clone()).collect();
-    host.segments.hold(&segments, host.now());
+    host.segments.board().hold(&segments, host.now());
     pass_on(host, segments);
 }
 
@@ -142,81 +137,59 @@
     }
 }
 
-/// Compares the folded quarantine with what this host saw of it before.
-fn update_seen(host: &Arc<Host>) {
+/// Logs what became known of the quarantine since the last run, and lifts what was answered.
+fn update_board(host: &Arc<Host>) {
     let now = host.now();
-    let entries = host.quarantine.view(|q| q.entries.clone());
-    let mut seen = host.segments.seen();
-    if entries.is_empty() && seen.is_empty() {
-        return;
-    }
-    let before = std::mem::take(&mut *seen);
-    for entry in &entries {
-        let old = before
-            .iter()
-            .find(|s| s.entry.segment == entry.segment && s.entry.since == entry.since);
-        seen.push(match old {
-            Some(old) if old.entry.last == entry.last => old.clone(),
-            old => Seen {
-                entry: entry.clone(),
-                at: now,
-                since: old.map_or(now, |o| o.since),
-            },
-        });
+    let (changes, answered) = host.quarantine.view(|state| observe(host, state, now));
+    for seen in &changes.noted {
+        note_entry(host, &seen.entry);
     }
-    let after = seen.clone();
-    drop(seen);
-    for new in after.iter().filter(|s| s.at == now) {
-        note_entry(host, new);
-    }
-    let is_over = |s: &&Seen| {
-        !entries
-            .iter()
-            .any(|e| e.segment == s.entry.segment && e.since == s.entry.since)
-    };
-    for old in before.iter().filter(is_over) {
-        let age_s = now.saturating_sub(old.since).as_secs();
-        let note = format!("age_s={age_s} probes={}", old.entry.probes);
-        let (segment, since) = (&old.entry.segment, old.entry.since);
+    for seen in &changes.released {
+        let age_s = now.saturating_sub(seen.since).as_secs();
+        let note = format!("age_s={age_s} probes={}", seen.entry.probes);
+        let (segment, since) = (&seen.entry.segment, seen.entry.since);
         host.timeline
             .note(Happening::SegmentReleased, segment, Some(since), &note);
     }
-    host.meters.quarantine(
-        after
+    host.lift(&answered);
+}
+
+/// Updates the board; returns what changed, and the segments in quarantine that were answered shortly
+/// before their conviction or since. Locks the board after the folded state, like `admit_segments`.
+fn observe(host: &Host, state: &Quarantine, now: Time) -> (Changes, Vec<Name>) {
+    let mut board = host.segments.board();
+    let witness = host.segments.witness();
+    let changes = board.observe(state, now);
+    board.drop_holds(now, |segment, since| {
+        witness.is_proven_since(segment, since)
+    });
+    let seen = board.seen();
+    if !seen.is_empty() || !changes.released.is_empty() {
+        let ages = seen
             .iter()
-            .map(|s| (&*s.entry.segment, now.saturating_sub(s.since))),
-    );
-    lift_answered(host, &after);
+            .map(|s| (&*s.entry.segment, now.saturating_sub(s.since)));
+        host.meters.quarantine(ages);
+    }
+    let is_answered =
+        |s: &&Seen| witness.is_proven_since(&s.entry.segment, s.since.saturating_sub(PROOF_TIME));
+    let answered = seen.iter().filter(is_answered);
+    (changes, answered.map(|s| s.entry.segment.clone()).collect())
 }
 
-fn note_entry(host: &Host, seen: &Seen) {
-    let Entry {
-        segment,
-        since,
-        probes,
-        host: by,
-        servers,
-        ..
-    } = &seen.entry;
-    let (what, note) = match probes {
-        0 => (
-            Happening::SegmentQuarantined,
-            format!("by={by} servers={}", servers.join(",")),
-        ),
+fn note_entry(host: &Host, entry: &Entry) {
+    let by = &entry.host;
+    let (what, note) = match entry.probes {
+        0 => {
+            let servers = entry.servers.join(",");
+            (
+                Happening::SegmentQuarantined,
+                format!("by={by} servers={servers}"),
+            )
+        }
         n => (Happening::SegmentProbed, format!("by={by} probe={n}")),
     };
-    host.timeline.note(what, segment, Some(*since), &note);
-}
-
-/// Lifts the quarantines of segments that this host saw answered shortly before them or since.
-fn lift_answered(host: &Host, seen: &[Seen]) {
-    let witness = host.segments.witness();
-    let answered = seen
-        .iter()
-        .filter(|s| witness.is_proven_since(&s.entry.segment, s.since.saturating_sub(PROOF_TIME)));
-    let segments: Vec<Name> = answered.map(|s| s.entry.segment.clone()).collect();
-    drop(witness);
-    host.lift(&segments);
+    host.timeline
+        .note(what, &entry.segment, Some(entry.since), &note);
 }
 
 impl Host {
@@ -238,37 +211,3 @@
         }
     }
 }
-
-impl Segments {
-    /// Refuses `segments` for some time; returns those that were not refused ahead of the log before.
-    fn hold(&self, segments: &[Name], now: Time) -> Vec<Name> {
-        let mut holds = self.holds();
-        let mut fresh = Vec::new();
-        for segment in segments {
-            let until = now + HOLD_TIME;
-            match holds.binary_search_by(|h| h.segment.cmp(segment)) {
-                Ok(at) => holds[at].until = until,
-                Err(_) if holds.len() >= HOLDS_MAX => {}
-                Err(at) => {
-                    let segment = segment.clone();
-                    fresh.push(segment.clone());
-                    holds.insert(at, Hold { segment, until });
-                }
-            }
-        }
-        fresh
-    }
-
-    /// Drops the holds that are over, and those of segments that this host saw answered.
-    fn drop_holds(&self, now: Time) {
-        let mut holds = self.holds();
-        if holds.is_empty() {
-            return;
-        }
-        let witness = self.witness();
-        holds.retain(|h| {
-            let begun = h.until.saturating_sub(HOLD_TIME);
-            h.until > now && !witness.is_proven_since(&h.segment, begun)
-        });
-    }
-}
--- a/tests/quarantine_decide.rs
+++ b/tests/quarantine_decide.rs
@@ -2,8 +2,12 @@
 
 use gooseberrytack::{
     clock::Time,
+    error::Kind,
     fold::Fold,
-    quarantine::{Evidence, Loss, Quarantine, Record, Verdict, Witness},
+    quarantine::{
+        Admission, Board, Changes, Evidence, Loss, PROBE_AFTER_MAX, Quarantine, Record, Verdict,
+        Witness,
+    },
     wire::Name,
 };
 use proptest::prelude::*;
@@ -248,3 +252,134 @@
         }
     }
 }
+
+fn names<const N: usize>(segments: [&str; N]) -> [Name; N] {
+    segments.map(Name::from)
+}
+
+/// Whether the board admits a request with `segments` as a probe, refuses it or knows nothing against it.
+fn admitted(board: &Board, state: &Quarantine, segments: &[Name], now: Time) -> &'static str {
+    match board.admission(state, segments, now) {
+        Admission::Free => "free",
+        Admission::Probe(_) => "probe",
+        Admission::Refused(fail) => {
+            assert_eq!(fail.kind, Kind::Quarantined);
+            "refused"
+        }
+    }
+}
+
+#[test]
+fn board_probes_at_doubled_intervals() {
+    let mut board = Board::default();
+    let request = names(["base", "x"]);
+    let mut records = vec![impose("x")];
+    let mut now = ms(1_000);
+    for (number, interval) in [15, 30, 60, 120].into_iter().enumerate() {
+        let state = fold(&records);
+        assert_eq!(
+            admitted(&board, &state, &request, now),
+            "refused",
+            "not seen yet"
+        );
+        board.observe(&state, now);
+        now += Duration::from_secs(interval) - ms(1);
+        assert_eq!(admitted(&board, &state, &request, now), "refused");
+        now += ms(1);
+        assert_eq!(admitted(&board, &state, &request, now), "probe");
+        records.push(probe("x", 1, number as u32, "h1"));
+    }
+    let after = fold(&records);
+    board.observe(&after, now);
+    assert_eq!(admitted(&board, &after, &names(["base"]), now), "free");
+}
+
+#[test]
+fn board_longest_interval_bounded() {
+    let mut records = vec![impose("x")];
+    records.extend((0..40).map(|n| probe("x", 1, n, "h1")));
+    let state = fold(&records);
+    let mut board = Board::default();
+    board.observe(&state, ms(0));
+    let request = names(["x"]);
+    assert_eq!(
+        admitted(&board, &state, &request, PROBE_AFTER_MAX - ms(1)),
+        "refused"
+    );
+    assert_eq!(admitted(&board, &state, &request, PROBE_AFTER_MAX), "probe");
+}
+
+#[test]
+fn board_notes_begin_probe_and_end_once() {
+    let mut board = Board::default();
+    let records = [impose("x"), probe("x", 1, 0, "h1"), lift("x", 1)];
+    for upto in 1..=3 {
+        let state = fold(&records[..upto]);
+        let now = ms(1_000 * upto as u64);
+        let changes = board.observe(&state, now);
+        let counts = (changes.noted.len(), changes.released.len());
+        assert_eq!(counts, if upto < 3 { (1, 0) } else { (0, 1) });
+        // The time of the conviction stays through probes and is told at the end.
+        let seen = changes.noted.iter().chain(&changes.released);
+        assert!(seen.into_iter().all(|s| s.since == ms(1_000)));
+        assert_eq!(board.observe(&state, now), Changes::default());
+    }
+}
+
+fn impose_for(segment: &str, servers: &[&str]) -> Record {
+    Record::Impose {
+        segment: segment.into(),
+        host: "h0".into(),
+        servers: servers.iter().map(|s| Name::from(*s)).collect(),
+    }
+}
+
+#[test]
+fn board_segment_that_another_explains_is_probed_at_once() {
+    let near = impose_for("near", &["i-1", "i-2", "i-3"]);
+    let deadly = impose_for("deadly", &["i-1", "i-2", "i-3", "i-4"]);
+    let state = fold(&[near.clone(), deadly.clone()]);
+    let mut board = Board::default();
+    board.observe(&state, ms(0));
+    assert_eq!(
+        admitted(&board, &state, &names(["base", "near"]), ms(1)),
+        "probe"
+    );
+    // What one alone explains is not risked, and neither are both together.
+    assert_eq!(
+        admitted(&board, &state, &names(["base", "deadly"]), ms(1)),
+        "refused"
+    );
+    assert_eq!(
+        admitted(&board, &state, &names(["deadly", "near"]), ms(1)),
+        "refused"
+    );
+    let probed = fold(&[near, deadly, probe("near", 1, 0, "h1")]);
+    board.observe(&probed, ms(2));
+    assert_eq!(
+        admitted(&board, &probed, &names(["base", "near"]), ms(3)),
+        "refused"
+    );
+}
+
+#[test]
+fn board_hold_ends_with_time_or_answer() {
+    let mut board = Board::default();
+    let state = Quarantine::default();
+    let request = names(["base", "x"]);
+    let x = names(["x"]);
+    assert_eq!(board.hold(&x, ms(0)), x);
+    assert_eq!(board.hold(&x, ms(1_000)), [], "told on once");
+    assert_eq!(admitted(&board, &state, &request, ms(10_999)), "refused");
+    assert_eq!(admitted(&board, &state, &request, ms(11_000)), "free");
+    board.hold(&x, ms(20_000));
+    board.drop_holds(ms(20_100), |_, _| true);
+    assert_eq!(admitted(&board, &state, &request, ms(20_100)), "free");
+}
+
+#[test]
+fn board_holds_bounded() {
+    let mut board = Board::default();
+    let many: Vec<Name> = (0..1_000).map(|n| format!("s{n}").into()).collect();
+    assert_eq!(board.hold(&many, ms(0)).len(), 256);
+}
