Revert "Hosts are ready once they have read the quarantine"

A host that starts while the log is away takes the configuration from a peer and serves; with this it was never ready (config_starts_from_peer failed: gave up after a minute). Nothing had shown that the change was needed: a host that starts reads the stream at once where it can.

--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -265,11 +265,9 @@
         self.dead.load(Ordering::Relaxed)
     }
 
-    /// Whether the load balancer may send callers here: connected, not stopping and not dead, and the
-    /// quarantine was read once.
+    /// Whether the load balancer may send callers here: connected, not stopping and not dead.
     pub fn is_ready(&self) -> bool {
-        let knows_quarantine = self.quarantine.progress().caught_up.is_some();
-        !self.is_stopping() && !self.is_dead() && self.is_connected() && knows_quarantine
+        !self.is_stopping() && !self.is_dead() && self.is_connected()
     }
 
     /// Whether the configuration has been read to the head of the log once, and the withdrawal of a key
