Of many segments of a lost attempt, random ones are reported

The first 32 in the order of their ids were reported, so that a request with many new segments could hide the one at fault behind them for as long as it liked. The test has 40 new parts in each request, and bounds the reports by the lost servers.

--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -28,7 +28,7 @@
     atomic::{AtomicBool, AtomicUsize},
 };
 
-/// Most segments of one request that are considered.
+/// Most segments of one lost attempt that are reported.
 pub const SEGMENTS_MAX: usize = 32;
 /// What one host knows of segments, besides the folded log.
 #[derive(Debug, Default)]
--- a/src/quarantine/report.rs
+++ b/src/quarantine/report.rs
@@ -12,6 +12,7 @@
     timeline::Happening,
     wire::{Name, Peer},
 };
+use rand::seq::IndexedRandom;
 use std::{
     io::ErrorKind,
     net::{SocketAddr, TcpStream},
@@ -112,8 +113,10 @@
     /// Records that a server was lost under an attempt. If the server has ended, the segments that were
     /// not answered lately are reported, in the background.
     pub fn note_lost(self: &Arc<Self>, mut lost: LostAttempt) {
-        lost.segments.truncate(SEGMENTS_MAX);
-        lost.segments = self.segments.witness().lost(&lost.segments, lost.lost);
+        let suspects = self.segments.witness().lost(&lost.segments, lost.lost);
+        // Random ones of many, so that requests with many segments hide none for long.
+        let some = suspects.choose_multiple(&mut rand::rng(), SEGMENTS_MAX);
+        lost.segments = some.cloned().collect();
         if lost.segments.is_empty() {
             return;
         }
