Holds of segments are passed on again while the log is away

In a fleet of 63 a host hears of a hold from one in charge each 17 s on average, and a hold lasts 10 s: between the two the host would admit the segment again.

--- a/src/quarantine/board.rs
+++ b/src/quarantine/board.rs
@@ -10,6 +10,8 @@
 pub const PROBE_AFTER_MAX: Duration = Duration::from_secs(3600);
 /// Time for which a segment is refused ahead of the log.
 const HOLD_TIME: Duration = Duration::from_secs(10);
+/// Time after which a hold that is renewed is passed on again, so that it lapses on no host.
+const PASS_ON_AGAIN: Duration = Duration::from_secs(5);
 /// Most segments refused ahead of the log.
 const HOLDS_MAX: usize = 256;
 
@@ -47,6 +49,8 @@
 struct Hold {
     segment: Name,
     since: Time,
+    /// When it was last passed on to other hosts.
+    passed: Time,
 }
 
 impl Board {
@@ -119,27 +123,32 @@
         })
     }
 
-    /// Refuses `segments` for some time; returns those that were not refused ahead of the log before.
+    /// Refuses `segments` for some time; returns those to pass on to other hosts.
     pub fn hold(&mut self, segments: &[Name], now: Time) -> Vec<Name> {
-        let mut fresh = Vec::new();
+        let mut due = Vec::new();
         for segment in segments {
-            match self.find_hold(segment) {
-                Ok(at) => self.holds[at].since = now,
-                Err(_) if self.holds.len() >= HOLDS_MAX => {}
+            let at = match self.find_hold(segment) {
+                Ok(at) => at,
+                Err(_) if self.holds.len() >= HOLDS_MAX => continue,
                 Err(at) => {
-                    let segment = segment.clone();
-                    fresh.push(segment.clone());
-                    self.holds.insert(
-                        at,
-                        Hold {
-                            segment,
-                            since: now,
-                        },
-                    );
+                    due.push(segment.clone());
+                    let hold = Hold {
+                        segment: segment.clone(),
+                        since: now,
+                        passed: now,
+                    };
+                    self.holds.insert(at, hold);
+                    continue;
                 }
+            };
+            let hold = &mut self.holds[at];
+            hold.since = now;
+            if now.saturating_sub(hold.passed) >= PASS_ON_AGAIN {
+                hold.passed = now;
+                due.push(segment.clone());
             }
         }
-        fresh
+        due
     }
 
     /// Drops the holds that are over, and those of segments that were answered since.
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -30,6 +30,7 @@
 
 /// Most segments of one lost attempt that are reported.
 pub const SEGMENTS_MAX: usize = 32;
+
 /// What one host knows of segments, besides the folded log.
 #[derive(Debug, Default)]
 pub struct Segments {
--- a/src/quarantine/task.rs
+++ b/src/quarantine/task.rs
@@ -53,12 +53,12 @@
 
 fn hold(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
     serve_call(host, exchange, |host, call: HoldCall| {
-        let fresh = host.segments.board().hold(&call.segments, host.now());
-        if !fresh.is_empty() {
-            tracing::info!(segments = fresh.join(","), "segments_held");
+        let due = host.segments.board().hold(&call.segments, host.now());
+        if !due.is_empty() {
+            tracing::info!(segments = due.join(","), "segments_held");
             let host = host.clone();
             // In the background: the caller waits only for this host.
-            thread::spawn(move || pass_on(&host, fresh));
+            thread::spawn(move || pass_on(&host, due));
         }
         Ok(())
     })
@@ -123,7 +123,7 @@
     })
 }
 
-/// Passes a hold on to random peers, each of which does so once.
+/// Passes a hold on to random peers, each of which does so in turn.
 fn pass_on(host: &Host, segments: Vec<Name>) {
     let ring = host.members.ring();
     let others = ring.peers().iter().filter(|p| p.name != host.me.name);
--- a/tests/quarantine_decide.rs
+++ b/tests/quarantine_decide.rs
@@ -369,9 +369,11 @@
     let request = names(["base", "x"]);
     let x = names(["x"]);
     assert_eq!(board.hold(&x, ms(0)), x);
-    assert_eq!(board.hold(&x, ms(1_000)), [], "told on once");
-    assert_eq!(admitted(&board, &state, &request, ms(10_999)), "refused");
-    assert_eq!(admitted(&board, &state, &request, ms(11_000)), "free");
+    assert_eq!(board.hold(&x, ms(1_000)), [], "passed on once");
+    assert_eq!(board.hold(&x, ms(5_000)), x, "passed on again");
+    assert_eq!(board.hold(&x, ms(6_000)), []);
+    assert_eq!(admitted(&board, &state, &request, ms(15_999)), "refused");
+    assert_eq!(admitted(&board, &state, &request, ms(16_000)), "free");
     board.hold(&x, ms(20_000));
     board.drop_holds(ms(20_100), |_, _| true);
     assert_eq!(admitted(&board, &state, &request, ms(20_100)), "free");
