relay_lost: the test waits for the stream of the quarantine as for the others

lost_log_is_not_asked_while_peers_answer counts calls to a lost log from the moment at which every stream was read through a peer. The bound is as before, over one more stream.

--- a/tests/relay_lost.rs
+++ b/tests/relay_lost.rs
@@ -104,6 +104,7 @@
             host.config.progress().caught_up,
             host.homes.progress().caught_up,
             host.calls.progress().caught_up,
+            host.quarantine.progress().caught_up,
         ];
         own.into_iter().chain(jobs).all(|fresh| fresh > Some(since))
     });
