--- a/src/quarantine/witness.rs
+++ b/src/quarantine/witness.rs
@@ -35,7 +35,7 @@
     }
 
     /// Records that a server was lost under a request with `segments`, before its answer began; returns
-    /// those to report: none that was answered within [`PROOF_TIME`].
+    /// those to report: none that was answered within `PROOF_TIME`.
     pub fn lost(&mut self, segments: &[Name], now: Time) -> Vec<Name> {
         self.accused.expire(now, ACCUSED_TIME);
         let is_proven = |s: &&Name| {
