Log each answer that a caller gets only in part

The new line answer_not_completed has the request's id, the code and cause, its age and the revision of the configuration.

--- a/src/pass/sink.rs
+++ b/src/pass/sink.rs
@@ -71,6 +71,7 @@
             Err(fail) => fail,
         };
         if self.exchange.is_begun() {
+            self.note_cut(fail);
             self.exchange.abort();
             return Ok(());
         }
@@ -82,6 +83,15 @@
         }
     }
 
+    /// Logs that the caller gets an incomplete answer, which `Refused` events do not tell.
+    fn note_cut(&self, fail: &Fail) {
+        let id = self.exchange.request.field("request-id").unwrap_or("");
+        let age_ms = self.host.now().saturating_sub(self.began).as_millis();
+        let (code, cause) = (fail.kind.row().code, &*fail.text);
+        let revision = self.host.config.view(|s| s.revision);
+        tracing::info!(id, code, cause, age_ms, revision, "answer_not_completed");
+    }
+
     fn note_time(&mut self) {
         let now = self.host.now();
         self.host.served.piece(self.began, &mut self.last, now);
