Wait for a silent server unless the request can go on at another one

A stream whose server paused for a second ended without its last event, on a closed connection.

Cause: a host took 800 ms without progress for the loss of the server and gave the attempt up. Where the route allowed no further attempt, no retry was left in the budget or no server had a slot, the answer ended there. The class of fault is a failure detector whose suspicion is acted on like a certainty.

Change: silence has a request leave its server only for another one. It takes a retry of the budget and a free slot elsewhere first; after 1.5 s of silence it gives its slot up and waits in queues, if it may be sent again and there is another server to go to. In all other cases it reads on until its deadline.

Why it works: the connection to the silent server is closed only when the request may be sent again, and nothing is lost by reading on if it may not.

--- a/src/route/acquire.rs
+++ b/src/route/acquire.rs
@@ -113,7 +113,7 @@
         }
     }
 
-    fn note_granted(&self, slot: Slot, began: Time) -> Slot {
+    pub(super) fn note_granted(&self, slot: Slot, began: Time) -> Slot {
         let waited = self.host.now().saturating_sub(began);
         self.host.meters.slot(waited);
         let timeline = &self.host.timeline;
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -56,6 +56,7 @@
         if let Err(fail) = self.permit_segments() {
             return Err(Abort::Final(self.final_fail(fail)));
         }
+        self.current = slot.server.clone();
         let mut attempt = Attempt {
             addr: server.addr,
             start: server.start,
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -4,6 +4,7 @@
 use crate::{
     clock::{Clock, Time},
     error::{Fail, Kind, Ran, Res},
+    gate::Slot,
     kernel::Host,
     pass::{Event, Head},
     quarantine::{Admission, Permit},
@@ -89,6 +90,8 @@
     /// Attempts of a forwarded request that a server may have run.
     pub(super) sent: u32,
     pub(super) admitted: bool,
+    /// Server of the current or last attempt; empty before the first.
+    pub(super) current: Name,
     /// Prompt segments of the request that others may share.
     pub(super) segments: Vec<Name>,
     /// Right to send it although segments of it are in quarantine.
@@ -103,6 +106,16 @@
     pub(super) tried: Vec<Name>,
     /// The last failure after which a server may have run the work.
     pub(super) earlier: Option<Fail>,
+    /// Retry that was taken from the budget while a server was silent.
+    pub(super) reserved: Option<Reserved>,
+}
+
+/// A retry that is paid for before the request leaves its silent server.
+pub(super) struct Reserved {
+    /// Slot on another server, once one was free.
+    pub(super) slot: Option<Slot>,
+    /// When other servers were last asked for one.
+    pub(super) asked: Time,
 }
 
 /// Runs `work` on backend servers and feeds its tokens to `sink`.
@@ -123,6 +136,7 @@
         asks: 0,
         sent: 0,
         admitted: false,
+        current: Name::default(),
         segments: segments_of(host, work),
         permit: None,
         lost_early: false,
@@ -130,6 +144,7 @@
         not_run: None,
         tried: Vec::new(),
         earlier: None,
+        reserved: None,
     };
     let result = run.run();
     let (what, note) = match &result {
@@ -145,7 +160,11 @@
         loop {
             self.refuse_quarantined()
                 .map_err(|fail| self.final_fail(fail))?;
-            let slot = self.acquire().map_err(|fail| self.final_fail(fail))?;
+            let reserved = self.reserved.take().and_then(|r| r.slot);
+            let slot = match reserved {
+                Some(slot) => slot,
+                None => self.acquire().map_err(|fail| self.final_fail(fail))?,
+            };
             self.sink.slot(true);
             match self.attempt(slot) {
                 Ok(answer) => return Ok(answer),
@@ -166,20 +185,10 @@
         if self.work.request.is_some() && fail.kind.row().ran == Ran::No {
             return self.wait_after_not_run(fail);
         }
+        let next = self.next_step(&fail);
         self.failures += 1;
-        let next = match &self.work.request {
-            Some(request) => {
-                let may_send = match self.work.class {
-                    Class::Online => self.sent < request.attempts,
-                    // The job counts each failed answer of a batch item by itself, and waits before
-                    // an item that may have crashed its server is tried again.
-                    Class::Batch => fail.kind != Kind::ServerFailed && !self.lost_early,
-                };
-                retry::decide_forwarded(fail.kind, self.work.repeatable, self.failures, may_send)
-            }
-            None => retry::decide(fail.kind, self.work.repeatable, self.failures),
-        };
-        let again = next == Next::Retry && self.host.routes.take_retry();
+        let again =
+            next == Next::Retry && (self.reserved.is_some() || self.host.routes.take_retry());
         if !again {
             return Err(self.final_fail(fail));
         }
@@ -196,6 +205,21 @@
         Ok(())
     }
 
+    /// What to do if the current attempt fails with `fail`, besides the retry budget.
+    pub(super) fn next_step(&self, fail: &Fail) -> Next {
+        let (kind, failures) = (fail.kind, self.failures + 1);
+        let Some(request) = &self.work.request else {
+            return retry::decide(kind, self.work.repeatable, failures);
+        };
+        let may_send = match self.work.class {
+            Class::Online => self.sent < request.attempts,
+            // The job counts each failed answer of a batch item by itself, and waits before an item that
+            // may have crashed its server is tried again.
+            Class::Batch => kind != Kind::ServerFailed && !self.lost_early,
+        };
+        retry::decide_forwarded(kind, self.work.repeatable, failures, may_send)
+    }
+
     /// Pauses after a server that certainly did not run a forwarded request; fails if no server ran
     /// it for [`NOT_RUN_MAX`].
     fn wait_after_not_run(&mut self, fail: Fail) -> Res<()> {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -7,6 +7,7 @@
 mod health;
 mod leaving;
 mod passing;
+mod silence;
 mod state;
 mod wait;
 
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -21,9 +21,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for bytes between two checks whether the answer is still wanted.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Time without progress after which a repeatable request is moved to another server. Callers
-/// disconnect after two seconds of silence, which leaves time for that server.
-const PROGRESS_TIMEOUT: Duration = Duration::from_millis(800);
 /// Longest body of an answer that is not an event stream.
 const BODY_MAX_BYTES: usize = 4 << 20;
 /// Most bytes received for such an answer, head and framing included.
@@ -313,14 +310,14 @@
         self.check_progress(since).map(|()| None)
     }
 
-    /// Fails if the answer is no longer wanted, or if the work is repeatable and has made no progress
-    /// since `since` for [`PROGRESS_TIMEOUT`].
+    /// Fails if the answer is no longer wanted, or if the request leaves its server, which has made no
+    /// progress since `since`.
     fn check_progress(&mut self, since: Time) -> Result<(), Abort> {
         self.check_deadline()
             .and_then(|()| self.sink.check())
             .map_err(Abort::Final)?;
         let silent = self.host.now().saturating_sub(since);
-        if self.work.repeatable && silent >= PROGRESS_TIMEOUT {
+        if self.leaves_silent(silent) {
             return Err(self.lost("the backend server makes no progress", false));
         }
         Ok(())
--- a/src/route/wait.rs
+++ b/src/route/wait.rs
@@ -107,7 +107,8 @@
         places
     }
 
-    fn others(&self, server: &Name) -> Res<Vec<Name>> {
+    /// Servers to ask other than `server`; that one only if there are no others.
+    pub(super) fn others(&self, server: &Name) -> Res<Vec<Name>> {
         let mut tried = self.tried.clone();
         tried.push(server.clone());
         self.host.routes.order(self.host, self.work, &tried)
