Leave a silent server only with a slot on another one in hand

Change: a request whose server is silent takes places in the queues of others and reads on; it leaves with a granted slot, a retry of the budget and nothing in quarantine, else not at all. An event returns the places. A request that a server may have run is no longer given up because others refuse it for 1.5 s: neither a refusal nor a cut answer helps its caller, so it waits until its deadline.

Why it works: every condition for being sent again holds before the connection is closed, and a server that turns out to be full is asked again.

Run: platform tests silent_servers, whole_path, batch_path, endless_answers pass.

--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -57,6 +57,7 @@
             return Err(Abort::Final(self.final_fail(fail)));
         }
         self.current = slot.server.clone();
+        self.places = None;
         let mut attempt = Attempt {
             addr: server.addr,
             start: server.start,
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -1,6 +1,6 @@
 //! Runs one piece of work on the backend servers, with retries.
 
-use super::attempt::Abort;
+use super::{attempt::Abort, wait::Places};
 use crate::{
     clock::{Clock, Time},
     error::{Fail, Kind, Ran, Res},
@@ -16,9 +16,10 @@
 
 /// Pause after a server that did not run a request, before the next server is asked.
 const NOT_RUN_PAUSE: Duration = Duration::from_millis(20);
-/// Time after which a request that no server runs fails: callers disconnect after two seconds without
-/// an event.
+/// Time after which a request that no server runs is refused, and may be sent to another host.
 const NOT_RUN_MAX: Duration = Duration::from_millis(1500);
+/// Longer pause from then on, if a server may have run the request before.
+const NOT_RUN_LATE_PAUSE: Duration = Duration::from_millis(200);
 
 /// Receives the tokens of an answer.
 pub trait Sink {
@@ -106,16 +107,10 @@
     pub(super) tried: Vec<Name>,
     /// The last failure after which a server may have run the work.
     pub(super) earlier: Option<Fail>,
-    /// Retry that was taken from the budget while a server was silent.
-    pub(super) reserved: Option<Reserved>,
-}
-
-/// A retry that is paid for before the request leaves its silent server.
-pub(super) struct Reserved {
-    /// Slot on another server, once one was free.
-    pub(super) slot: Option<Slot>,
-    /// When other servers were last asked for one.
-    pub(super) asked: Time,
+    /// Places in the queues of other servers, while the current one is silent.
+    pub(super) places: Option<Places>,
+    /// Slot on another server that the request leaves a silent one for; a retry of the budget is spent.
+    pub(super) reserved: Option<Slot>,
 }
 
 /// Runs `work` on backend servers and feeds its tokens to `sink`.
@@ -144,6 +139,7 @@
         not_run: None,
         tried: Vec::new(),
         earlier: None,
+        places: None,
         reserved: None,
     };
     let result = run.run();
@@ -160,8 +156,7 @@
         loop {
             self.refuse_quarantined()
                 .map_err(|fail| self.final_fail(fail))?;
-            let reserved = self.reserved.take().and_then(|r| r.slot);
-            let slot = match reserved {
+            let slot = match self.reserved.take() {
                 Some(slot) => slot,
                 None => self.acquire().map_err(|fail| self.final_fail(fail))?,
             };
@@ -220,17 +215,21 @@
         retry::decide_forwarded(kind, self.work.repeatable, failures, may_send)
     }
 
-    /// Pauses after a server that certainly did not run a forwarded request; fails if no server ran
-    /// it for [`NOT_RUN_MAX`].
+    /// Pauses after a server that certainly did not run a forwarded request. Fails if no server ran it
+    /// for [`NOT_RUN_MAX`], unless one may have run it before: a refusal would not be true then.
     fn wait_after_not_run(&mut self, fail: Fail) -> Res<()> {
         let now = self.host.now();
         let (pos, since) = *self.not_run.get_or_insert((self.pos, now));
+        let mut pause = NOT_RUN_PAUSE;
         if pos != self.pos {
             self.not_run = Some((self.pos, now));
         } else if now.saturating_sub(since) >= NOT_RUN_MAX {
-            return Err(self.final_fail(fail));
+            if self.earlier.is_none() {
+                return Err(self.final_fail(fail));
+            }
+            pause = NOT_RUN_LATE_PAUSE;
         }
-        self.host.clock.sleep(NOT_RUN_PAUSE);
+        self.host.clock.sleep(pause);
         Ok(())
     }
 
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -188,6 +188,7 @@
             }
             // Neither bytes of an incomplete event nor comments count as progress.
             if has_event {
+                self.places = None;
                 since = self.host.now();
             } else if more {
                 self.check_progress(since)?;
--- a/src/route/silence.rs
+++ b/src/route/silence.rs
@@ -1,65 +1,71 @@
 //! Decides when a request leaves a server that is silent.
 //!
-//! A sound server may pause for a second or so, so silence alone ends no answer: the request leaves its
-//! server only for another one.
+//! A sound server may pause for a second or so, so silence alone ends no answer: an online request keeps
+//! its server until it holds a slot on another one.
 
-use super::{
-    acquire::AskResult,
-    dispatch::{Reserved, Run, Sink},
-};
+use super::dispatch::{Run, Sink};
 use crate::{
-    clock::Time,
     error::{Fail, Kind},
     gate::Slot,
+    quarantine::Admission,
     retry::Next,
     wire::{Class, Name},
 };
 use std::time::Duration;
 
-/// Silence after which a repeatable request goes on at another server that has a free slot.
-const MOVE_AFTER: Duration = Duration::from_millis(800);
-/// Silence after which an online request gives its slot up and waits for another one. Callers disconnect
-/// after two seconds of silence, which leaves time for that server.
-const LEAVE_AFTER: Duration = Duration::from_millis(1500);
-/// Shortest time between two rounds of slot requests.
-const ASK_EVERY: Duration = Duration::from_millis(100);
+/// Silence after which a repeatable online request waits for a slot on another server as well. Callers
+/// disconnect after two seconds of silence, which leaves time for that server.
+const WAIT_ELSEWHERE_AFTER: Duration = Duration::from_millis(800);
+/// Silence after which a batch item leaves its server.
+const LEAVE_BATCH_AFTER: Duration = Duration::from_millis(800);
 
 impl<S: Sink> Run<'_, S> {
     /// Whether the request leaves its server, which has been `silent` for so long. An online request that
-    /// leaves holds what it needs to be sent again; without that it goes on waiting.
+    /// leaves has a slot elsewhere and a retry of the budget; without them it goes on waiting.
     pub(super) fn leaves_silent(&mut self, silent: Duration) -> bool {
-        if !self.work.repeatable || silent < MOVE_AFTER {
-            return false;
-        }
-        // An item goes on elsewhere or back to its job; it is never lost.
-        if self.work.class == Class::Batch {
-            return true;
-        }
-        let lost = Fail::new(Kind::ServerLost, "");
-        if self.permit.is_some() || self.next_step(&lost) == Next::GiveUp {
+        if !self.work.repeatable {
             return false;
         }
-        let now = self.host.now();
-        let asked = self.reserved.as_ref().map(|r| r.asked);
-        if asked.is_some_and(|t| now.saturating_sub(t) < ASK_EVERY) {
-            return false;
-        }
-        let others = self.usable_others();
-        if others.is_empty() || (asked.is_none() && !self.host.routes.take_retry()) {
-            return false;
+        match self.work.class {
+            Class::Batch => silent >= LEAVE_BATCH_AFTER,
+            Class::Online => {
+                if silent < WAIT_ELSEWHERE_AFTER {
+                    self.places = None;
+                    return false;
+                }
+                self.reserved = self.reserve_elsewhere();
+                self.reserved.is_some()
+            }
         }
-        let slot = self.free_slot(&others, now);
-        let leaves = slot.is_some() || silent >= LEAVE_AFTER;
-        self.reserved = Some(Reserved { slot, asked: now });
-        leaves
     }
 
-    fn free_slot(&mut self, servers: &[Name], now: Time) -> Option<Slot> {
-        let ask = self.next_ask();
-        match self.ask_servers(&ask, servers) {
-            AskResult::Slot(slot) => Some(self.note_granted(slot, now)),
-            AskResult::Shortest(_) | AskResult::None => None,
+    /// A slot on another server and a retry of the budget, once both are to be had.
+    fn reserve_elsewhere(&mut self) -> Option<Slot> {
+        let lost = Fail::new(Kind::ServerLost, "");
+        let may_leave = self.permit.is_none() && self.next_step(&lost) == Next::Retry;
+        if !may_leave || self.host.admit_segments(&self.segments) != Admission::Free {
+            return None;
+        }
+        if self.places.is_none() {
+            let others = self.usable_others();
+            if others.is_empty() {
+                return None;
+            }
+            let ask = self.next_ask();
+            self.places = Some(self.take_places(&ask, others));
         }
+        let slot = match self.places.as_ref()?.granted() {
+            Ok(slot) => slot?,
+            // No queue takes the request any more; others may at the next check.
+            Err(_) => {
+                self.places = None;
+                return None;
+            }
+        };
+        self.places = None;
+        let began = self.host.now();
+        let slot = self.note_granted(slot, began);
+        self.host.routes.take_retry().then_some(slot)
     }
 
     /// Servers other than the current one that take work, best first.
--- a/src/route/wait.rs
+++ b/src/route/wait.rs
@@ -20,7 +20,7 @@
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
-        mpsc::{Receiver, RecvTimeoutError, Sender, channel},
+        mpsc::{Receiver, RecvTimeoutError, Sender, TryRecvError, channel},
     },
     thread,
     time::Duration,
@@ -36,7 +36,7 @@
 const STACK: usize = 256 * 1024;
 
 /// The places of one request in queues. Dropping it returns all of them within one round.
-struct Places {
+pub(super) struct Places {
     is_dropped: Arc<AtomicBool>,
     grants: Receiver<Res<Slot>>,
 }
@@ -51,6 +51,20 @@
     grants: Sender<Res<Slot>>,
 }
 
+impl Places {
+    /// A slot that was granted, if there is one.
+    ///
+    /// # Errors
+    /// None of the gates takes the request any more.
+    pub(super) fn granted(&self) -> Res<Option<Slot>> {
+        match self.grants.try_recv() {
+            Ok(got) => got.map(Some),
+            Err(TryRecvError::Empty) => Ok(None),
+            Err(TryRecvError::Disconnected) => Err(queue_full()),
+        }
+    }
+}
+
 impl Drop for Places {
     fn drop(&mut self) {
         self.is_dropped.store(true, Ordering::Relaxed);
@@ -62,7 +76,9 @@
     /// rounds grow to limit the messages of many waiting requests. `None` if none of the gates takes
     /// the request any more.
     pub(super) fn wait_online(&mut self, ask: &SlotRequest, server: &Name) -> Res<Option<Slot>> {
-        let places = self.take_places(ask, server);
+        let mut servers = vec![server.clone()];
+        servers.extend(self.others(server).unwrap_or_default());
+        let places = self.take_places(ask, servers);
         let other = self.next_ask();
         let mut round = FIRST_ROUND;
         loop {
@@ -82,16 +98,14 @@
         }
     }
 
-    /// Takes places at `server` and at the best of the others. Each has its own attempt id, as more
-    /// than one may be granted.
-    fn take_places(&mut self, ask: &SlotRequest, server: &Name) -> Places {
+    /// Takes places at the first of `servers`. Each has its own attempt id, as more than one may be
+    /// granted.
+    pub(super) fn take_places(&mut self, ask: &SlotRequest, servers: Vec<Name>) -> Places {
         let (sender, grants) = channel();
         let places = Places {
             is_dropped: Arc::default(),
             grants,
         };
-        let mut servers = vec![server.clone()];
-        servers.extend(self.others(server).unwrap_or_default());
         for (i, server) in servers.into_iter().take(QUEUES_MAX).enumerate() {
             let place = Place {
                 host: self.host.clone(),
