Let batch items wait for a server that pauses

An item whose server sent no event within 800 ms went back to its job and started again, each time; with servers that pause that long before their first event it never ended (LOST names such items). job_items_of_server_that_pauses_run_once failed before (no result in 60 s) and passes.

Change: an item leaves a silent server after 2 s, longer than a sound server pauses; nobody waits for its next event.

--- a/src/route/silence.rs
+++ b/src/route/silence.rs
@@ -16,8 +16,8 @@
 /// Silence after which a repeatable online request waits for a slot on another server as well. Callers
 /// disconnect after two seconds of silence, which leaves time for that server.
 const WAIT_ELSEWHERE_AFTER: Duration = Duration::from_millis(800);
-/// Silence after which a batch item leaves its server.
-const LEAVE_BATCH_AFTER: Duration = Duration::from_millis(800);
+/// Silence after which a batch item leaves its server; longer than the pauses of sound servers.
+const LEAVE_BATCH_AFTER: Duration = Duration::from_secs(2);
 
 impl<S: Sink> Run<'_, S> {
     /// Whether the request leaves its server, which has been `silent` for so long. An online request that
