Quarantine whole requests that crash backend servers

Cause: the quarantine judged prompt segments only.

Change: the whole of a caller's request counts as one more segment, named by a digest of workspace, path and body, in the same reports, log, admission and probes. Three servers in any order convict a request: few are at more than one server at a time. The hosts in charge of a segment get the losses of the request along with those of the segment, and do not convict a segment whose losses are all of one request. A segment whose losses several convicted requests explain together may be probed at once. A full quarantine drops requests before segments. Batch items have no such digest: they are owed whatever ends under them. The refusal says that it is the request.

Why it works: the digest is never in an answer that begins, so nothing lifts it while the request is deadly, and it is in no other request.

--- a/src/error/mod.rs
+++ b/src/error/mod.rs
@@ -64,7 +64,7 @@
     KeyWithdrawn,
     /// Batch work was preempted by online work; the item is retried without counting the attempt.
     Preempted,
-    /// A segment of the prompt is in quarantine because it crashes backend servers.
+    /// The request or a segment of its prompt is in quarantine because it crashes backend servers.
     Quarantined,
     /// The work was cancelled by its caller.
     Cancelled,
--- a/src/quarantine/admit.rs
+++ b/src/quarantine/admit.rs
@@ -1,6 +1,6 @@
 //! Admits requests by the segments of their prompts, and claims probes.
 
-use super::{Entry, Record};
+use super::{Entry, Record, is_request};
 use crate::{
     error::{Fail, Kind, Res},
     kernel::Host,
@@ -75,22 +75,30 @@
 
 /// Refusal of a request with segments in quarantine.
 pub(super) fn refusal(entries: &[&Entry]) -> Fail {
-    let quote = |e: &&Entry| format!("\"{}\"", e.segment);
-    let names: Vec<String> = entries.iter().map(quote).collect();
     let servers = entries.iter().map(|e| e.servers.len()).max().unwrap_or(0);
-    let text = format!(
-        "segments of the prompt are in quarantine because {servers} backend servers ended under requests \
-         with them: {}; send the request without them",
-        names.join(", ")
-    );
-    Fail::new(Kind::Quarantined, text)
+    let names = entries.iter().map(|e| &*e.segment).collect();
+    refuse(names, &format!("{servers} backend servers"))
 }
 
 /// Refusal of a request with a segment that is refused ahead of the log.
 pub(super) fn hold_refusal(segment: &str) -> Fail {
-    let text = format!(
-        "a segment of the prompt is in quarantine because backend servers ended under requests with it: \
-         \"{segment}\"; send the request without it"
-    );
+    refuse(vec![segment], "backend servers")
+}
+
+fn refuse(names: Vec<&str>, servers: &str) -> Fail {
+    let text = match names.iter().find(|n| is_request(n)) {
+        Some(id) => format!(
+            "this request is in quarantine because {servers} ended under it: \"{id}\"; do not send the same \
+             path and body again"
+        ),
+        None => {
+            let names: Vec<String> = names.iter().map(|n| format!("\"{n}\"")).collect();
+            format!(
+                "segments of the prompt are in quarantine because {servers} ended under requests with them: \
+                 {}; send the request without them",
+                names.join(", ")
+            )
+        }
+    };
     Fail::new(Kind::Quarantined, text)
 }
--- a/src/quarantine/board.rs
+++ b/src/quarantine/board.rs
@@ -111,7 +111,7 @@
         segments: &[Name],
         now: Time,
     ) -> bool {
-        if entry.probes == 0 && lacks_companion(state, entry, segments) {
+        if entry.probes == 0 && is_explained(state, entry, segments) {
             return true;
         }
         let found = self
@@ -175,15 +175,13 @@
     }
 }
 
-/// Whether the request lacks a segment that explains the conviction of `entry`: one under which all the
-/// same servers ended, so that at most one of the two need be at fault.
-fn lacks_companion(state: &Quarantine, entry: &Entry, segments: &[Name]) -> bool {
-    let explains = |other: &&Entry| {
-        let is_shared = |server: &Name| other.servers.contains(server);
-        other.segment != entry.segment && entry.servers.iter().all(is_shared)
-    };
-    let mut companions = state.entries.iter().filter(explains);
-    companions.any(|c| !segments.contains(&c.segment))
+/// Whether the segments in quarantine that the request lacks explain the conviction of `entry`: the same
+/// servers ended under requests with them, so that `entry` need not be at fault.
+fn is_explained(state: &Quarantine, entry: &Entry, segments: &[Name]) -> bool {
+    let lacking = state.entries.iter();
+    let lacking: Vec<&Entry> = lacking.filter(|e| !segments.contains(&e.segment)).collect();
+    let explains = |server: &Name| lacking.iter().any(|e| e.servers.contains(server));
+    !entry.servers.is_empty() && entry.servers.iter().all(explains)
 }
 
 /// Time from a quarantine, or from its last probe, to the next one.
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -1,5 +1,6 @@
 //! Decides from the reports of all hosts which segments crash backend servers.
 
+use super::is_request;
 use crate::{clock::Time, wire::Name};
 use std::time::Duration;
 
@@ -8,6 +9,8 @@
 pub const SUCCESSIVE_MIN: usize = 3;
 /// Servers that must have ended in any order.
 pub const SERVERS_MIN: usize = 5;
+/// Servers that must have ended, in any order, under one and the same request.
+pub const REQUEST_SERVERS_MIN: usize = 3;
 /// Time that a host has to report an answer to a request with the segment before it is convicted.
 pub const OBJECTION_TIME: Duration = Duration::from_millis(200);
 /// Time after the last report from which the reports on a segment no longer count.
@@ -55,6 +58,8 @@
     reported: Time,
     /// When the reports first were enough.
     enough: Option<Time>,
+    /// When the segment was convicted; losses up to then convict it no more.
+    convicted: Option<Time>,
 }
 
 impl Evidence {
@@ -73,6 +78,7 @@
                     losses: Vec::new(),
                     reported: now,
                     enough: None,
+                    convicted: None,
                 };
                 self.suspects.insert(at, suspect);
                 at
@@ -87,18 +93,34 @@
         found.map(|at| self.suspects.remove(at)).is_ok()
     }
 
-    /// The segments to convict at `now`.
+    /// Records at `now` that a segment was convicted. Its losses still explain those of other segments.
+    pub fn convicted(&mut self, segment: &str, now: Time) {
+        if let Ok(at) = self.find(segment) {
+            self.suspects[at].convicted = Some(now);
+            self.suspects[at].enough = None;
+        }
+    }
+
+    /// The segments to convict at `now`: none that a single request explains.
     pub fn verdicts(&self, now: Time) -> Vec<Verdict> {
         let is_due = |s: &&Suspect| {
             s.enough
                 .is_some_and(|t| now.saturating_sub(t) >= OBJECTION_TIME)
         };
         let due = self.suspects.iter().filter(is_due);
-        due.map(|s| Verdict {
-            segment: s.segment.clone(),
-            servers: s.losses.iter().map(|l| l.server.clone()).collect(),
-        })
-        .collect()
+        due.filter(|s| !self.is_explained(s))
+            .map(|s| Verdict {
+                segment: s.segment.clone(),
+                servers: s.counted().map(|l| l.server.clone()).collect(),
+            })
+            .collect()
+    }
+
+    /// Whether all losses with a segment are those of one request, which says nothing of the segment.
+    fn is_explained(&self, suspect: &Suspect) -> bool {
+        let explains = |request: &&Suspect| suspect.losses.iter().all(|l| request.has(l));
+        let mut requests = self.suspects.iter().filter(|s| is_request(&s.segment));
+        !is_request(&suspect.segment) && requests.any(|r| explains(&r))
     }
 
     /// Number of segments with reports.
@@ -131,25 +153,41 @@
 impl Suspect {
     fn add(&mut self, loss: Loss, now: Time) -> Option<usize> {
         self.reported = now;
-        let same = |l: &Loss| l.server == loss.server && l.start == loss.start;
-        if self.losses.len() >= LOSSES_MAX || self.losses.iter().any(same) {
+        if self.losses.len() >= LOSSES_MAX || self.has(&loss) {
             return None;
         }
         let at = self.losses.partition_point(|l| l.lost <= loss.lost);
         self.losses.insert(at, loss);
-        let count = self.losses.len();
-        let is_enough = count >= SERVERS_MIN || self.successive() >= SUCCESSIVE_MIN;
+        let count = self.counted().count();
+        // Few requests are at more than one server at a time, so one event hardly ends all of these.
+        let servers_min = match is_request(&self.segment) {
+            true => REQUEST_SERVERS_MIN,
+            false => SERVERS_MIN,
+        };
+        let is_enough = count >= servers_min || self.successive() >= SUCCESSIVE_MIN;
         if is_enough && self.enough.is_none() {
             self.enough = Some(now);
         }
         Some(count)
     }
 
+    fn has(&self, loss: &Loss) -> bool {
+        let is_same = |l: &Loss| l.server == loss.server && l.start == loss.start;
+        self.losses.iter().any(is_same)
+    }
+
+    /// The losses since the last conviction.
+    fn counted(&self) -> impl Iterator<Item = &Loss> {
+        let convicted = self.convicted;
+        let losses = self.losses.iter();
+        losses.filter(move |l| convicted.is_none_or(|t| l.lost > t))
+    }
+
     /// Length of the longest sequence of losses in which each request was sent after the end before it.
     fn successive(&self) -> usize {
         let mut last = None;
         let mut count = 0;
-        for loss in &self.losses {
+        for loss in self.counted() {
             if last.is_none_or(|end| loss.sent >= end) {
                 last = Some(loss.lost);
                 count += 1;
--- a/src/quarantine/fold.rs
+++ b/src/quarantine/fold.rs
@@ -1,5 +1,6 @@
 //! The segments in quarantine, folded from the log.
 
+use super::is_request;
 use crate::{
     fold::{Fold, Pos},
     wire::Name,
@@ -7,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Most segments in quarantine; a further one replaces the one that was convicted or probed first.
+/// Most segments in quarantine; a further one replaces the one that was convicted or probed first, a
+/// whole request before a segment that many requests may share.
 const ENTRIES_MAX: usize = 256;
 
 /// A segment in quarantine.
@@ -89,13 +91,19 @@
             return;
         }
         if self.entries.len() >= ENTRIES_MAX
-            && let Some((oldest, _)) = self.entries.iter().enumerate().min_by_key(|(_, e)| e.last)
+            && let Some(at) = self.least_needed()
         {
-            self.entries.remove(oldest);
+            self.entries.remove(at);
         }
         let at = self.entries.partition_point(|e| e.segment < entry.segment);
         self.entries.insert(at, entry);
     }
+
+    fn least_needed(&self) -> Option<usize> {
+        let all = self.entries.iter().enumerate();
+        all.min_by_key(|(_, e)| (!is_request(&e.segment), e.last))
+            .map(|(at, _)| at)
+    }
 }
 
 impl Fold for Quarantine {
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -1,9 +1,12 @@
-//! Quarantine of prompt segments that crash backend servers ("queries of death").
+//! Quarantine of prompt segments and requests that crash backend servers ("queries of death").
 //!
 //! A host that loses a server before the first event of an answer reports the request's segments to
 //! the hosts in charge of each segment, which put the reports of the fleet together. A segment that
 //! they convict is recorded in the log, so that every host refuses requests with it. A probe, one for
 //! the whole fleet at a time, finds out when the segment no longer crashes servers.
+//!
+//! The whole of a caller's request counts as one more segment of it: [`request_id`] names all requests
+//! with the same workspace, path and body.
 //! docs/QUARANTINE.md weighs the ways and gives the reasons.
 
 mod admit;
@@ -12,6 +15,7 @@
 mod evidence;
 mod fold;
 mod report;
+mod request;
 mod task;
 mod witness;
 
@@ -20,6 +24,7 @@
 pub use evidence::{Evidence, Loss, Verdict};
 pub use fold::{Entry, Quarantine, Record};
 pub use report::LostAttempt;
+pub use request::{is_request, request_id};
 pub use witness::Witness;
 
 use report::Outbox;
--- a/src/quarantine/report.rs
+++ b/src/quarantine/report.rs
@@ -4,7 +4,7 @@
     SEGMENTS_MAX,
     call::{Report, ReportedLoss},
     evidence::Loss,
-    segment_key,
+    is_request, segment_key,
 };
 use crate::{
     clock::Time,
@@ -12,7 +12,7 @@
     timeline::Happening,
     wire::{Name, Peer},
 };
-use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 use std::{
     io::ErrorKind,
     net::{SocketAddr, TcpStream},
@@ -58,21 +58,30 @@
 /// What a host has still to report.
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
-    losses: Vec<(Name, Loss)>,
+    losses: Vec<Suspicion>,
     answered: Vec<Name>,
 }
 
+/// A loss to report of one segment.
+#[derive(Debug)]
+struct Suspicion {
+    segment: Name,
+    /// Id of the whole request under which the server ended; none for a batch item.
+    request: Option<Name>,
+    loss: Loss,
+}
+
 impl Outbox {
-    fn add_loss(&mut self, segment: Name, loss: Loss) -> bool {
+    fn add_loss(&mut self, suspicion: Suspicion) -> bool {
         let has_room = self.losses.len() < QUEUE_MAX;
         if has_room {
-            self.losses.push((segment, loss));
+            self.losses.push(suspicion);
         }
         has_room
     }
 
     fn add_answered(&mut self, segment: Name) {
-        self.losses.retain(|(s, _)| *s != segment);
+        self.losses.retain(|s| s.segment != segment);
         if self.answered.len() < QUEUE_MAX && !self.answered.contains(&segment) {
             self.answered.push(segment);
         }
@@ -114,9 +123,11 @@
     /// not answered lately are reported, in the background.
     pub fn note_lost(self: &Arc<Self>, mut lost: LostAttempt) {
         let suspects = self.segments.witness().lost(&lost.segments, lost.lost);
+        let (whole, mut some): (Vec<Name>, Vec<Name>) =
+            suspects.into_iter().partition(|s| is_request(s));
         // Random ones of many, so that requests with many segments hide none for long.
-        let some = suspects.choose_multiple(&mut rand::rng(), SEGMENTS_MAX);
-        lost.segments = some.cloned().collect();
+        some.shuffle(&mut rand::rng());
+        lost.segments = whole.into_iter().chain(some).take(SEGMENTS_MAX).collect();
         if lost.segments.is_empty() {
             return;
         }
@@ -157,8 +168,14 @@
         lost: lost.lost,
     };
     let mut outbox = host.segments.outbox();
+    let request = lost.segments.iter().find(|s| is_request(s)).cloned();
     for segment in lost.segments {
-        if !outbox.add_loss(segment.clone(), loss.clone()) {
+        let suspicion = Suspicion {
+            segment: segment.clone(),
+            request: request.clone(),
+            loss: loss.clone(),
+        };
+        if !outbox.add_loss(suspicion) {
             tracing::warn!(segment = &*segment, "segment_not_reported");
         }
     }
@@ -199,16 +216,24 @@
 fn send(host: &Arc<Host>, batch: Outbox) {
     let now = host.now();
     let mut reports: Vec<(Peer, Report)> = Vec::new();
-    for (segment, loss) in batch.losses {
-        let reported = ReportedLoss {
+    for Suspicion {
+        segment,
+        request,
+        loss,
+    } in batch.losses
+    {
+        let reported = |segment: &Name| ReportedLoss {
             segment: segment.clone(),
-            server: loss.server,
+            server: loss.server.clone(),
             start: loss.start,
             sent: now.saturating_sub(loss.sent),
             lost: now.saturating_sub(loss.lost),
         };
         for report in reports_to(host, &mut reports, &segment) {
-            reports[report].1.losses.push(reported.clone());
+            let losses = &mut reports[report].1.losses;
+            // The hosts in charge of a segment have to know whether one request explains its losses.
+            losses.extend(request.iter().filter(|r| **r != segment).map(reported));
+            losses.push(reported(&segment));
         }
     }
     for segment in batch.answered {
--- a/src/quarantine/task.rs
+++ b/src/quarantine/task.rs
@@ -94,7 +94,7 @@
     for verdict in verdicts {
         let segment = &verdict.segment;
         match impose(host, verdict) {
-            Ok(()) => drop(host.segments.evidence().clear(segment)),
+            Ok(()) => host.segments.evidence().convicted(segment, host.now()),
             Err(fail) => {
                 tracing::warn!(segment = &**segment, error = %fail, "quarantine_not_recorded");
                 if !is_held {
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -7,7 +7,7 @@
     gate::Slot,
     kernel::Host,
     pass::{Event, Head},
-    quarantine::{Admission, Permit},
+    quarantine::{self, Admission, Permit},
     retry::{self, Next},
     timeline::Happening,
     wire::{Answer, Class, Name, Work},
@@ -93,7 +93,7 @@
     pub(super) admitted: bool,
     /// Server of the current or last attempt; empty before the first.
     pub(super) current: Name,
-    /// Prompt segments of the request that others may share.
+    /// Prompt segments of the request that others may share, and the id of the whole request.
     pub(super) segments: Vec<Name>,
     /// Right to send it although segments of it are in quarantine.
     pub(super) permit: Option<Permit>,
@@ -287,8 +287,14 @@
 }
 
 fn segments_of(host: &Host, work: &Work) -> Vec<Name> {
-    match (host.dialect, &work.request) {
-        (Some(dialect), Some(request)) => (dialect.segments)(request),
-        _ => Vec::new(),
+    let (Some(dialect), Some(request)) = (host.dialect, &work.request) else {
+        return Vec::new();
+    };
+    let mut segments = (dialect.segments)(request);
+    segments.retain(|s| !quarantine::is_request(s));
+    // An item of a batch job is still owed if servers end under it.
+    if work.class == Class::Online {
+        segments.push(quarantine::request_id(&work.workspace, request));
     }
+    segments
 }
