Keep a connection open whose answer did not say that it closes

It happened when a planned stop of the host began during the stream.

Cause: `Exchange` looked twice whether the host stops, for the head of the answer and again at its end. A stop between the two closed a connection whose head had promised that it stays open, while the next request could already be on its way.

Change: the decision is taken once, with the head, and kept.

--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -27,6 +27,8 @@
     /// Whether this host shut down the connection's reading side.
     read_closed: Arc<AtomicBool>,
     stopping: Arc<AtomicBool>,
+    /// Whether the head of the answer said that the connection may carry another request.
+    keeps_alive: bool,
     state: State,
 }
 
@@ -104,6 +106,7 @@
             conn,
             read_closed,
             stopping,
+            keeps_alive: false,
             state: State::Open,
         }
     }
@@ -113,13 +116,10 @@
         !matches!(self.state, State::Open)
     }
 
-    /// Whether the connection may carry another request.
+    /// Whether the connection may carry another request. A stop that begins after the head of the answer
+    /// does not change that: the caller may send one at once.
     pub(super) fn is_reusable(&self) -> bool {
-        matches!(self.state, State::Done) && self.is_persistent()
-    }
-
-    fn is_persistent(&self) -> bool {
-        self.request.head.persistent && !self.stopping.load(Ordering::Relaxed)
+        matches!(self.state, State::Done) && self.keeps_alive
     }
 
     /// Sends a whole answer of content type `kind`.
@@ -243,12 +243,13 @@
         self.conn.set_nonblocking(false).is_err() || gone
     }
 
-    fn head(&self, status: u16, fields: &[(&str, &str)]) -> Vec<u8> {
+    fn head(&mut self, status: u16, fields: &[(&str, &str)]) -> Vec<u8> {
         let mut out = format!("HTTP/1.1 {status} {}\r\n", reason(status)).into_bytes();
         for (name, value) in fields {
             out.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
         }
-        if !self.is_persistent() {
+        self.keeps_alive = self.request.head.persistent && !self.stopping.load(Ordering::Relaxed);
+        if !self.keeps_alive {
             out.extend_from_slice(b"connection: close\r\n");
         }
         out
