Refuse requests without an answer before a planned stop ends

Cause: `Host::stop` waits `linger_ms` and `drain_ms`, then closes all connections, whether an answer has begun or not. Nothing told the requests in progress of that moment: they waited for their slots and servers until their own deadlines, which may lie beyond it.

Change: a host that stops knows when it ends. 400 ms before that, a request whose answer has not begun is refused, with 503 if it waits for a slot and with 504 if a server may run it. Answers that have begun go on to the end, as before.

Why it works: a request that waits checks every 300 ms at most whether it is still wanted, and now also whether its host is about to end.

--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -121,6 +121,8 @@
     /// Names of the servers' protocol where requests are passed on unchanged, else `None`.
     pub dialect: Option<&'static Dialect>,
     stopping: AtomicBool,
+    /// When the planned stop aborts what is in progress; set when it begins.
+    ends: OnceLock<Time>,
     dead: AtomicBool,
     /// Notified when the host is dead; interrupts sleeping tasks.
     death: (Mutex<()>, Condvar),
@@ -212,6 +214,7 @@
             passing: AttemptRegistry::default(),
             dialect: outside.map(|o| o.dialect),
             stopping: AtomicBool::new(false),
+            ends: OnceLock::new(),
             dead: AtomicBool::new(false),
             death: Default::default(),
             servers: Mutex::new(
@@ -260,6 +263,11 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Whether a planned stop aborts what is in progress within `span`.
+    pub fn ends_within(&self, span: Duration) -> bool {
+        self.ends.get().is_some_and(|end| self.now() + span >= *end)
+    }
+
     /// Whether the host has ended, by a stop or a kill.
     pub fn is_dead(&self) -> bool {
         self.dead.load(Ordering::Relaxed)
@@ -319,6 +327,8 @@
     /// and then for the requests in progress. Returns the number of requests that were still in progress
     /// at the limit `settings.drain` and were aborted.
     pub fn stop(self: &Arc<Self>) -> usize {
+        let end = self.now() + self.settings.linger + self.settings.drain;
+        let _ = self.ends.set(end);
         self.stopping.store(true, Ordering::Relaxed);
         self.timeline
             .note(Happening::Stopping, &self.me.name, None, "");
--- a/src/pass/sink.rs
+++ b/src/pass/sink.rs
@@ -13,6 +13,9 @@
 
 /// Interval of the checks whether the caller is still connected.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Time before the end of a planned stop at which a request without an answer is refused. Checks of a
+/// waiting request are up to 300 ms apart.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Header fields of the connection (RFC 9110, section 7.6.1) and of the body's framing.
 const CONNECTION_FIELDS: [&str; 9] = [
     "connection",
@@ -42,6 +45,8 @@
     /// Error answer of a server, passed back if no other server succeeds.
     failed: Option<(Head, Vec<u8>)>,
     is_sent: bool,
+    /// Whether the request has a slot and may run.
+    has_slot: bool,
 }
 
 impl<'a> PassSink<'a> {
@@ -60,6 +65,7 @@
             last: None,
             failed: None,
             is_sent: false,
+            has_slot: false,
         }
     }
 
@@ -92,6 +98,20 @@
         tracing::info!(id, code, cause, age_ms, revision, "answer_not_completed");
     }
 
+    /// Fails if the host ends before an answer can begin: its end closes the connection.
+    fn check_stop(&self) -> Res<()> {
+        if self.exchange.is_begun() || !self.host.ends_within(STOP_MARGIN) {
+            return Ok(());
+        }
+        Err(match self.has_slot {
+            true => {
+                let text = "this host stops while a backend server is running the request";
+                Fail::new(Kind::ExpiredRunning, text)
+            }
+            false => Fail::new(Kind::Stopping, "this host stops; use another host"),
+        })
+    }
+
     fn note_time(&mut self) {
         let now = self.host.now();
         self.host.served.piece(self.began, &mut self.last, now);
@@ -119,6 +139,10 @@
         }
     }
 
+    fn slot(&mut self, held: bool) {
+        self.has_slot = held;
+    }
+
     fn begin(&mut self, head: &Head) -> Res<()> {
         if self.exchange.is_begun() {
             return Ok(());
@@ -159,6 +183,7 @@
             return Ok(());
         }
         self.due = now + CHECK_INTERVAL;
-        self.host.check_caller(self.exchange)
+        self.host.check_caller(self.exchange)?;
+        self.check_stop()
     }
 }
