--- a/src/retry/mod.rs
+++ b/src/retry/mod.rs
@@ -35,6 +35,11 @@
         self.credit = (self.credit + self.percent).min(RESERVE * 100);
     }
 
+    /// Whether a retry is left.
+    pub fn has_retry(&self) -> bool {
+        self.credit >= 100
+    }
+
     /// Takes one retry; `false` if none is left.
     pub fn spend(&mut self) -> bool {
         let rest = self.credit.checked_sub(100);
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -216,7 +216,8 @@
     }
 
     /// Pauses after a server that certainly did not run a forwarded request. Fails if no server ran it
-    /// for [`NOT_RUN_MAX`], unless one may have run it before: a refusal would not be true then.
+    /// for [`NOT_RUN_MAX`], unless it is online and one may have run it before: a refusal would not be true
+    /// then.
     fn wait_after_not_run(&mut self, fail: Fail) -> Res<()> {
         let now = self.host.now();
         let (pos, since) = *self.not_run.get_or_insert((self.pos, now));
@@ -224,7 +225,7 @@
         if pos != self.pos {
             self.not_run = Some((self.pos, now));
         } else if now.saturating_sub(since) >= NOT_RUN_MAX {
-            if self.earlier.is_none() {
+            if self.earlier.is_none() || self.work.class == Class::Batch {
                 return Err(self.final_fail(fail));
             }
             pause = NOT_RUN_LATE_PAUSE;
--- a/src/route/silence.rs
+++ b/src/route/silence.rs
@@ -47,6 +47,9 @@
             return None;
         }
         if self.places.is_none() {
+            if !self.host.routes.has_retry() {
+                return None;
+            }
             let others = self.usable_others();
             if others.is_empty() {
                 return None;
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -83,6 +83,11 @@
         self.budget.lock().expect("retry budget").spend()
     }
 
+    /// Whether the budget has a retry left.
+    pub fn has_retry(&self) -> bool {
+        self.budget.lock().expect("retry budget").has_retry()
+    }
+
     /// Records the counts received at `now`, in the order of `servers`; zero slots mean no counts.
     pub fn learn(&self, now: Time, servers: &[Name], counts: &[Counts]) {
         let mut stats = self.lock();
--- a/src/route/wait.rs
+++ b/src/route/wait.rs
@@ -57,10 +57,14 @@
     /// # Errors
     /// None of the gates takes the request any more.
     pub(super) fn granted(&self) -> Res<Option<Slot>> {
-        match self.grants.try_recv() {
-            Ok(got) => got.map(Some),
-            Err(TryRecvError::Empty) => Ok(None),
-            Err(TryRecvError::Disconnected) => Err(queue_full()),
+        loop {
+            match self.grants.try_recv() {
+                Ok(Ok(slot)) => return Ok(Some(slot)),
+                // One queue is full; the other places stay.
+                Ok(Err(_)) => {}
+                Err(TryRecvError::Empty) => return Ok(None),
+                Err(TryRecvError::Disconnected) => return Err(queue_full()),
+            }
         }
     }
 }
