Quarantine: three probes of a request, late repeats, answers at all hosts in charge

- a request was probed on and on, while at most three retries may reach servers: three probes at most now; a segment is probed on as before;
- repeats more than a minute apart never added up: reports on a request count for ten minutes;
- an old conviction let a newly convicted request be probed at once: segments only;
- after 16 losses none counted any more: the oldest one goes;
- an answer cleared a request only at its own hosts in charge, not at those of its segments, which have its losses, too;
- the ids of requests displaced the proofs of segments: kept apart.

--- a/src/quarantine/admit.rs
+++ b/src/quarantine/admit.rs
@@ -75,17 +75,22 @@
 
 /// Refusal of a request with segments in quarantine.
 pub(super) fn refusal(entries: &[&Entry]) -> Fail {
-    let servers = entries.iter().map(|e| e.servers.len()).max().unwrap_or(0);
-    let names = entries.iter().map(|e| &*e.segment).collect();
-    refuse(names, &format!("{servers} backend servers"))
+    let whole = entries.iter().position(|e| is_request(&e.segment));
+    let named = match whole {
+        Some(at) => &entries[at..=at],
+        None => entries,
+    };
+    let servers = named.iter().map(|e| e.servers.len()).max().unwrap_or(0);
+    let names: Vec<&str> = named.iter().map(|e| &*e.segment).collect();
+    refuse(&names, &format!("{servers} backend servers"))
 }
 
 /// Refusal of a request with a segment that is refused ahead of the log.
 pub(super) fn hold_refusal(segment: &str) -> Fail {
-    refuse(vec![segment], "backend servers")
+    refuse(&[segment], "backend servers")
 }
 
-fn refuse(names: Vec<&str>, servers: &str) -> Fail {
+fn refuse(names: &[&str], servers: &str) -> Fail {
     let text = match names.iter().find(|n| is_request(n)) {
         Some(id) => format!(
             "this request is in quarantine because {servers} ended under it: \"{id}\"; do not send the same \
--- a/src/quarantine/board.rs
+++ b/src/quarantine/board.rs
@@ -1,6 +1,6 @@
 //! What one host makes of the quarantine: since when it knows each entry, and which requests it admits.
 
-use super::{Admission, Entry, Quarantine, admit};
+use super::{Admission, Entry, Quarantine, admit, is_request};
 use crate::{clock::Time, wire::Name};
 use std::time::Duration;
 
@@ -8,6 +8,8 @@
 pub const PROBE_AFTER: Duration = Duration::from_secs(15);
 /// Longest time between two probes of a segment.
 pub const PROBE_AFTER_MAX: Duration = Duration::from_secs(3600);
+/// Most probes with a whole request; a segment, which many requests may share, is probed on and on.
+pub const REQUEST_PROBES_MAX: u32 = 3;
 /// Time for which a segment is refused ahead of the log.
 const HOLD_TIME: Duration = Duration::from_secs(10);
 /// Time after which a hold that is renewed is passed on again, so that it lapses on no host.
@@ -111,7 +113,11 @@
         segments: &[Name],
         now: Time,
     ) -> bool {
-        if entry.probes == 0 && is_explained(state, entry, segments) {
+        let is_request = is_request(&entry.segment);
+        if is_request && entry.probes >= REQUEST_PROBES_MAX {
+            return false;
+        }
+        if !is_request && entry.probes == 0 && is_explained(state, entry, segments) {
             return true;
         }
         let found = self
--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -15,9 +15,11 @@
 pub const OBJECTION_TIME: Duration = Duration::from_millis(200);
 /// Time after the last report from which the reports on a segment no longer count.
 pub const EXPIRY: Duration = Duration::from_secs(60);
+/// The same for a whole request, which has its repeats only.
+pub const REQUEST_EXPIRY: Duration = Duration::from_secs(600);
 /// Most segments with reports.
 const SUSPECTS_MAX: usize = 1024;
-/// Most reports kept of a segment.
+/// Most reports kept of a segment; of more, the last ones.
 const LOSSES_MAX: usize = 16;
 
 /// The end of a server under a request, on the clock of the host that keeps the reports.
@@ -67,7 +69,7 @@
     /// server was known.
     pub fn add(&mut self, segment: &Name, loss: Loss, now: Time) -> Option<usize> {
         self.suspects
-            .retain(|s| now.saturating_sub(s.reported) < EXPIRY);
+            .retain(|s| now.saturating_sub(s.reported) < s.expiry());
         let at = match self.find(segment) {
             Ok(at) => at,
             Err(_) => {
@@ -153,9 +155,12 @@
 impl Suspect {
     fn add(&mut self, loss: Loss, now: Time) -> Option<usize> {
         self.reported = now;
-        if self.losses.len() >= LOSSES_MAX || self.has(&loss) {
+        if self.has(&loss) {
             return None;
         }
+        if self.losses.len() >= LOSSES_MAX {
+            self.losses.remove(0);
+        }
         let at = self.losses.partition_point(|l| l.lost <= loss.lost);
         self.losses.insert(at, loss);
         let count = self.counted().count();
@@ -171,6 +176,13 @@
         Some(count)
     }
 
+    fn expiry(&self) -> Duration {
+        match is_request(&self.segment) {
+            true => REQUEST_EXPIRY,
+            false => EXPIRY,
+        }
+    }
+
     fn has(&self, loss: &Loss) -> bool {
         let is_same = |l: &Loss| l.server == loss.server && l.start == loss.start;
         self.losses.iter().any(is_same)
--- a/src/quarantine/mod.rs
+++ b/src/quarantine/mod.rs
@@ -20,7 +20,7 @@
 mod witness;
 
 pub use admit::{Admission, Permit};
-pub use board::{Board, Changes, PROBE_AFTER, PROBE_AFTER_MAX, Seen};
+pub use board::{Board, Changes, PROBE_AFTER, PROBE_AFTER_MAX, REQUEST_PROBES_MAX, Seen};
 pub use evidence::{Evidence, Loss, Verdict};
 pub use fold::{Entry, Quarantine, Record};
 pub use report::LostAttempt;
--- a/src/quarantine/report.rs
+++ b/src/quarantine/report.rs
@@ -59,14 +59,22 @@
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
     losses: Vec<Suspicion>,
-    answered: Vec<Name>,
+    answered: Vec<Answered>,
+}
+
+/// An answer to report.
+#[derive(Debug, PartialEq, Eq)]
+struct Answered {
+    segment: Name,
+    /// Segment whose hosts in charge are told; those of a request's segments have its losses, too.
+    keepers_of: Name,
 }
 
 /// A loss to report of one segment.
 #[derive(Debug)]
 struct Suspicion {
     segment: Name,
-    /// Id of the whole request under which the server ended; none for a batch item.
+    /// Id of the whole request under which the server ended, if it is reported as well.
     request: Option<Name>,
     loss: Loss,
 }
@@ -80,10 +88,18 @@
         has_room
     }
 
-    fn add_answered(&mut self, segment: Name) {
-        self.losses.retain(|s| s.segment != segment);
-        if self.answered.len() < QUEUE_MAX && !self.answered.contains(&segment) {
-            self.answered.push(segment);
+    /// Adds an answer that clears `segment`; the request had the segments `all`.
+    fn add_answered(&mut self, segment: &Name, all: &[Name]) {
+        self.losses.retain(|s| s.segment != *segment);
+        let keepers = all.iter().filter(|s| is_request(segment) || *s == segment);
+        for keepers_of in keepers.cloned() {
+            let answered = Answered {
+                segment: segment.clone(),
+                keepers_of,
+            };
+            if self.answered.len() < QUEUE_MAX && !self.answered.contains(&answered) {
+                self.answered.push(answered);
+            }
         }
     }
 
@@ -113,7 +129,7 @@
         let mut outbox = self.segments.outbox();
         for segment in cleared {
             tracing::info!(id, segment = &*segment, "segment_answered");
-            outbox.add_answered(segment);
+            outbox.add_answered(&segment, segments);
         }
         drop(outbox);
         send_soon(self);
@@ -236,9 +252,9 @@
             losses.push(reported(&segment));
         }
     }
-    for segment in batch.answered {
-        for report in reports_to(host, &mut reports, &segment) {
-            reports[report].1.answered.push(segment.clone());
+    for answered in batch.answered {
+        for report in reports_to(host, &mut reports, &answered.keepers_of) {
+            reports[report].1.answered.push(answered.segment.clone());
         }
     }
     for (peer, report) in reports {
--- a/src/quarantine/request.rs
+++ b/src/quarantine/request.rs
@@ -9,7 +9,7 @@
 /// Bytes of the digest that an id has.
 const ID_BYTES: usize = 16;
 
-/// Id of all requests with the same workspace, path and body as this one.
+/// Id of all requests with the same workspace, path (query included) and body as this one.
 pub fn request_id(workspace: &str, request: &Request) -> Name {
     let mut hash = Sha256::new();
     for part in [
--- a/src/quarantine/witness.rs
+++ b/src/quarantine/witness.rs
@@ -1,13 +1,14 @@
 //! What one host saw of segments: answers to requests with them, and servers lost under such requests.
 
+use super::{evidence::REQUEST_EXPIRY, is_request};
 use crate::{clock::Time, wire::Name};
 use std::time::Duration;
 
 /// Time for which an answer shows that its segments crash no server.
 pub const PROOF_TIME: Duration = Duration::from_secs(5);
-/// Time for which an answer is reported if this host had reported a loss.
-const ACCUSED_TIME: Duration = Duration::from_secs(60);
-/// Most segments whose answers are remembered.
+/// Time for which an answer is reported if this host had reported a loss; as long as reports count.
+const ACCUSED_TIME: Duration = REQUEST_EXPIRY;
+/// Most segments, and most whole requests, whose answers are remembered.
 const PROVEN_MAX: usize = 1024;
 /// Most segments that this host reported and that were not answered since.
 const ACCUSED_MAX: usize = 512;
@@ -17,6 +18,8 @@
 pub struct Witness {
     /// Last answer to a request with the segment.
     proven: Recent,
+    /// Last answer to a whole request. Apart, since most are new and would displace the segments.
+    proven_requests: Recent,
     /// Last report of a loss under a request with the segment.
     accused: Recent,
 }
@@ -26,7 +29,7 @@
     pub fn answered(&mut self, segments: &[Name], now: Time) -> Vec<Name> {
         let mut cleared = Vec::new();
         for segment in segments {
-            self.proven.set(segment, now, PROVEN_MAX);
+            self.proven_mut(segment).set(segment, now, PROVEN_MAX);
             if self.accused.remove(segment) {
                 cleared.push(segment.clone());
             }
@@ -39,7 +42,7 @@
     pub fn lost(&mut self, segments: &[Name], now: Time) -> Vec<Name> {
         self.accused.expire(now, ACCUSED_TIME);
         let is_proven = |s: &&Name| {
-            let last = self.proven.get(s);
+            let last = self.proven(s).get(s);
             last.is_some_and(|t| now.saturating_sub(t) < PROOF_TIME)
         };
         let suspects: Vec<Name> = segments.iter().filter(|s| !is_proven(s)).cloned().collect();
@@ -51,7 +54,7 @@
 
     /// Number of segments that are remembered, each as answered and as reported.
     pub fn len(&self) -> usize {
-        self.proven.list.len() + self.accused.list.len()
+        self.proven.list.len() + self.proven_requests.list.len() + self.accused.list.len()
     }
 
     /// Whether nothing is remembered.
@@ -61,7 +64,21 @@
 
     /// Whether a request with the segment was answered after `since`.
     pub fn is_proven_since(&self, segment: &str, since: Time) -> bool {
-        self.proven.get(segment).is_some_and(|t| t > since)
+        self.proven(segment).get(segment).is_some_and(|t| t > since)
+    }
+
+    fn proven(&self, id: &str) -> &Recent {
+        match is_request(id) {
+            true => &self.proven_requests,
+            false => &self.proven,
+        }
+    }
+
+    fn proven_mut(&mut self, id: &str) -> &mut Recent {
+        match is_request(id) {
+            true => &mut self.proven_requests,
+            false => &mut self.proven,
+        }
     }
 }
 
--- a/tests/quarantine_request.rs
+++ b/tests/quarantine_request.rs
@@ -3,7 +3,10 @@
 use gooseberrytack::{
     clock::Time,
     fold::Fold,
-    quarantine::{Admission, Board, Evidence, Loss, Quarantine, Record},
+    quarantine::{
+        Admission, Board, Evidence, Loss, PROBE_AFTER_MAX, Quarantine, REQUEST_PROBES_MAX, Record,
+        Witness,
+    },
     wire::Name,
 };
 use std::time::Duration;
@@ -122,3 +125,73 @@
     let admission = board.admission(&state, &same, ms(1));
     assert!(matches!(admission, Admission::Refused(_)), "{admission:?}");
 }
+
+#[test]
+fn evidence_request_that_comes_every_few_minutes_is_convicted() {
+    let losses: Vec<Loss> = (0..3)
+        .map(|n| loss(n, 300_000 * n as u64, 300_000 * n as u64 + 50))
+        .collect();
+    let evidence = evidence_of(&[REQUEST], &losses);
+    assert_eq!(evidence.verdicts(ms(700_000)).len(), 1);
+}
+
+#[test]
+fn evidence_of_many_losses_still_convicts_again() {
+    let losses: Vec<Loss> = (0..20)
+        .map(|n| loss(n, 100 * n as u64, 100 * n as u64 + 50))
+        .collect();
+    let mut evidence = evidence_of(&[REQUEST], &losses);
+    evidence.convicted(REQUEST, ms(2_000));
+    for n in 20..23 {
+        let at = 100 * n as u64 + 1;
+        evidence.add(&REQUEST.into(), loss(n, at, at + 50), ms(at + 50));
+    }
+    assert_eq!(convicted(&evidence), names([REQUEST]));
+}
+
+#[test]
+fn board_request_is_probed_three_times_at_most() {
+    let request = names([REQUEST]);
+    let mut records = vec![impose(REQUEST, &["i-1"])];
+    let mut board = Board::default();
+    let mut now = ms(0);
+    let mut probes = 0;
+    for _ in 0..10 {
+        let state = fold(&records);
+        board.observe(&state, now);
+        now += PROBE_AFTER_MAX;
+        if let Admission::Probe(entries) = board.admission(&state, &request, now) {
+            records.push(Record::Probe {
+                segment: entries[0].segment.clone(),
+                since: entries[0].since,
+                number: entries[0].probes,
+                host: "h1".into(),
+            });
+            probes += 1;
+        }
+    }
+    assert_eq!(probes, REQUEST_PROBES_MAX);
+}
+
+#[test]
+fn board_request_that_others_explain_is_not_probed_at_once() {
+    let state = fold(&[
+        impose("request:00", &["i-1", "i-2", "i-3"]),
+        impose("request:01", &["i-1", "i-2", "i-3"]),
+    ]);
+    let mut board = Board::default();
+    board.observe(&state, ms(0));
+    let admission = board.admission(&state, &names(["request:00"]), ms(1));
+    assert!(matches!(admission, Admission::Refused(_)), "{admission:?}");
+}
+
+#[test]
+fn witness_new_requests_do_not_displace_segments() {
+    let mut witness = Witness::default();
+    let segment = names(["x"]);
+    witness.answered(&segment, ms(0));
+    for n in 0..2_000 {
+        witness.answered(&[format!("request:{n}").into()], ms(1));
+    }
+    assert_eq!(witness.lost(&segment, ms(2_000)), []);
+}
