--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -32,6 +32,7 @@
     /// Bytes received so far.
     received: u64,
     body: Option<Body>,
+    is_unframed: bool,
 }
 
 /// Why nothing was read.
@@ -59,6 +60,7 @@
             interim: 0,
             received: 0,
             body: None,
+            is_unframed: false,
         })
     }
 
@@ -67,6 +69,11 @@
         self.stream.clone()
     }
 
+    /// Whether the answer ends with its connection.
+    pub fn is_unframed(&self) -> bool {
+        self.is_unframed
+    }
+
     /// Bytes of the answer received so far, head and framing included.
     pub fn received(&self) -> u64 {
         self.received
@@ -172,7 +179,9 @@
             };
             self.buffer.drain(..size);
             if !(100..200).contains(&head.status) {
-                self.body = Some(Body::new(framing(&head)?));
+                let framing = framing(&head)?;
+                self.is_unframed = framing == Framing::Close;
+                self.body = Some(Body::new(framing));
                 return Ok(Some(head));
             }
             self.interim += size;
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -102,6 +102,19 @@
         });
     }
 
+    /// Logs what the end of the connection means for an event stream that ends with it.
+    fn note_unframed_end(&self, slot: &Slot, is_partial: bool, is_ended_here: bool) {
+        let (id, server, last) = (&*slot.id, &*slot.server, self.pos);
+        tracing::info!(
+            id,
+            server,
+            last,
+            is_partial,
+            is_ended_here,
+            "unframed_stream_ended"
+        );
+    }
+
     /// Reads the answer and passes it back.
     fn read_answer(
         &mut self,
@@ -194,6 +207,9 @@
                 self.check_progress(since)?;
             }
             if !more {
+                if conn.is_unframed() {
+                    self.note_unframed_end(slot, events.is_partial(), entry.is_ended());
+                }
                 if events.is_partial() {
                     let text = "the answer ended in the middle of an event";
                     return Err(self.lost(text, entry.is_ended()));
