Take the end of a connection for the end of an answer only if the server ended it

Cause: a batch item gives way to an online request by its host shutting the connection to the server down. The reading thread then sees the end of the input, as it does when the server closes. An answer with neither a length nor chunks is complete at that end, so the item was done with the events that had come; if it was cut between two events, nothing else showed it.

Change: Conn hands out a Closer, which records that this host closed the connection before it shuts the socket down; Conn::read takes the end of the input for the end of the answer only if no Closer did. The attempt is then lost and, as batch work, preempted: it goes on at the next event on another slot.

Why it works: the flag is set before the shutdown, so a reader that sees the end caused by it sees the flag. If the server ended at the same moment, the item goes on after its last event, which costs one more short run.

--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -7,7 +7,10 @@
 use std::{
     io::{self, ErrorKind, Read, Write},
     net::{Shutdown, SocketAddr, TcpStream},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -24,6 +27,8 @@
 #[derive(Debug)]
 pub struct Conn {
     stream: Arc<TcpStream>,
+    /// Whether a [`Closer`] closed it.
+    is_closed: Arc<AtomicBool>,
     /// Read timeout that is set on the socket.
     read_timeout: Duration,
     buffer: Vec<u8>,
@@ -35,6 +40,28 @@
     is_unframed: bool,
 }
 
+/// Closes a connection from another thread.
+#[derive(Debug, Clone)]
+pub struct Closer {
+    stream: Arc<TcpStream>,
+    is_closed: Arc<AtomicBool>,
+}
+
+impl Closer {
+    /// Closes the connection; an answer that has not ended by then is incomplete.
+    pub fn close(&self) {
+        // Before the shutdown, which the reading thread sees as the end of the input.
+        self.is_closed.store(true, Ordering::SeqCst);
+        // A socket that is already closed needs no shutdown.
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+
+    /// Whether `close` was called.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::SeqCst)
+    }
+}
+
 /// Why nothing was read.
 #[derive(Debug)]
 pub enum ReadError {
@@ -55,6 +82,7 @@
         stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
         Ok(Self {
             stream: Arc::new(stream),
+            is_closed: Arc::default(),
             read_timeout: Duration::ZERO,
             buffer: Vec::new(),
             interim: 0,
@@ -64,9 +92,12 @@
         })
     }
 
-    /// The socket, so that another thread can shut it down.
-    pub fn socket(&self) -> Arc<TcpStream> {
-        self.stream.clone()
+    /// A handle by which another thread can close the connection.
+    pub fn closer(&self) -> Closer {
+        Closer {
+            stream: self.stream.clone(),
+            is_closed: self.is_closed.clone(),
+        }
     }
 
     /// Whether the answer ends with its connection.
@@ -123,7 +154,9 @@
             return Ok(false);
         }
         if self.buffer.is_empty() && self.fill(limit)? == 0 {
-            let whole = self.body.as_mut().is_some_and(Body::end);
+            // The end of the input is the server's only if this host did not close the connection.
+            let is_servers = !self.is_closed.load(Ordering::SeqCst);
+            let whole = is_servers && self.body.as_mut().is_some_and(Body::end);
             return match whole {
                 true => Ok(false),
                 false => Err(broken("the answer ended early")),
--- a/src/pass/mod.rs
+++ b/src/pass/mod.rs
@@ -11,7 +11,7 @@
 mod sink;
 
 pub use body::{Body, Framing};
-pub use conn::{Conn, ReadError};
+pub use conn::{Closer, Conn, ReadError};
 pub use events::{Event, Events};
 pub use forward::{
     Access, Arrival, RETRY_ELSEWHERE, authenticate, authorize, forward, note_refusal, send_error,
--- a/src/pass/registry.rs
+++ b/src/pass/registry.rs
@@ -1,12 +1,10 @@
 //! Running attempts of this host, so that other threads can end them, and memory for their answers.
 
+use super::Closer;
 use crate::wire::Name;
-use std::{
-    net::{Shutdown, TcpStream},
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
+use std::sync::{
+    Mutex, MutexGuard,
+    atomic::{AtomicUsize, Ordering},
 };
 
 /// Most bytes of answers that a host buffers at the same time.
@@ -49,8 +47,7 @@
 #[derive(Debug)]
 struct Attempt {
     id: Name,
-    socket: Arc<TcpStream>,
-    is_ended: Arc<AtomicBool>,
+    closer: Closer,
 }
 
 /// Registration of an attempt; removed on drop.
@@ -58,17 +55,15 @@
 pub struct Registration<'a> {
     registry: &'a AttemptRegistry,
     id: Name,
-    is_ended: Arc<AtomicBool>,
+    closer: Closer,
 }
 
 impl AttemptRegistry {
     /// Registers the attempt `id` with its connection.
-    pub fn register(&self, id: &Name, socket: Arc<TcpStream>) -> Registration<'_> {
-        let is_ended: Arc<AtomicBool> = Arc::default();
+    pub fn register(&self, id: &Name, closer: Closer) -> Registration<'_> {
         let attempt = Attempt {
             id: id.clone(),
-            socket,
-            is_ended: is_ended.clone(),
+            closer: closer.clone(),
         };
         let mut list = self.lock();
         match list.binary_search_by(|u| u.id.cmp(id)) {
@@ -78,7 +73,7 @@
         Registration {
             registry: self,
             id: id.clone(),
-            is_ended,
+            closer,
         }
     }
 
@@ -96,9 +91,7 @@
         let Ok(at) = list.binary_search_by(|u| (*u.id).cmp(id)) else {
             return false;
         };
-        list[at].is_ended.store(true, Ordering::Relaxed);
-        // A socket that is already closed needs no shutdown.
-        let _ = list[at].socket.shutdown(Shutdown::Both);
+        list[at].closer.close();
         true
     }
 
@@ -110,7 +103,7 @@
 impl Registration<'_> {
     /// Whether [`AttemptRegistry::end`] ended the attempt.
     pub fn is_ended(&self) -> bool {
-        self.is_ended.load(Ordering::Relaxed)
+        self.closer.is_closed()
     }
 }
 
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -47,7 +47,7 @@
         let mut conn = Conn::open(attempt.addr, CONNECT_TIMEOUT.min(left)).map_err(|e| {
             Abort::Failed(Fail::new(Kind::Unreachable, format!("backend server: {e}")))
         })?;
-        let entry = host.passing.register(&slot.id, conn.socket());
+        let entry = host.passing.register(&slot.id, conn.closer());
         let workspace = &*self.work.workspace;
         let context = AttemptContext {
             request,
@@ -102,17 +102,10 @@
         });
     }
 
-    /// Logs what the end of the connection means for an event stream that ends with it.
-    fn note_unframed_end(&self, slot: &Slot, is_partial: bool, is_ended_here: bool) {
+    /// Logs that the server ended an event stream by ending the connection.
+    fn note_unframed_end(&self, slot: &Slot, is_partial: bool) {
         let (id, server, last) = (&*slot.id, &*slot.server, self.pos);
-        tracing::info!(
-            id,
-            server,
-            last,
-            is_partial,
-            is_ended_here,
-            "unframed_stream_ended"
-        );
+        tracing::info!(id, server, last, is_partial, "unframed_stream_ended");
     }
 
     /// Reads the answer and passes it back.
@@ -208,7 +201,7 @@
             }
             if !more {
                 if conn.is_unframed() {
-                    self.note_unframed_end(slot, events.is_partial(), entry.is_ended());
+                    self.note_unframed_end(slot, events.is_partial());
                 }
                 if events.is_partial() {
                     let text = "the answer ended in the middle of an event";
