Do not pass on a second answer that follows a stream without a length

A server may send a second answer on the connection of the first. After a stream with neither a length nor chunks no framing tells them apart: a refusal without a body reads as one more event without id and data, and callers got its head at the end of their stream.

Evidence: stream_unframed_second_answer_not_passed_on failed before; the caller's body ended in "HTTP/1.1 503 Full ...".

Change: a block that begins like an HTTP answer breaks the attempt off. It goes on at the next event if it may be repeated, and is cut otherwise: whether the first answer was whole is not known.

--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -27,6 +27,8 @@
 const TOTAL_MAX_BYTES: u64 = 8 << 20;
 /// Most bytes of consecutive events without id and data.
 const EMPTY_EVENTS_MAX_BYTES: usize = 16 * 1024;
+/// Start of an HTTP/1 answer, which is no line of an event.
+const STATUS_LINE_START: &[u8] = b"HTTP/1.";
 /// Longest text of a batch item: the size of a page of results.
 const ITEM_TEXT_MAX_BYTES: usize = 1 << 20;
 
@@ -172,6 +174,9 @@
                 .pop()
                 .map_err(|_| broken("the answer has an invalid event"))?
             {
+                if conn.is_unframed() && event.raw.starts_with(STATUS_LINE_START) {
+                    return Err(broken("another answer follows the events"));
+                }
                 if event.is_empty() {
                     empty.append(&mut event.raw);
                     if empty.len() > EMPTY_EVENTS_MAX_BYTES {
