Take a stream that ends before its first event for a lost one

A server that is lost right after the head of a stream with neither a length nor chunks ended it in an orderly way as far as the connection tells; callers got an empty success, and an item would have been done without text.

Evidence: stream_unframed_without_events_is_not_complete failed before with status 200 and no body.

Change: such a stream is lost unless events arrived before, from this server or an earlier one: each request runs for one event at least, and one that goes on after its last event has none left.

--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -208,6 +208,11 @@
                 if conn.is_unframed() {
                     self.note_unframed_end(slot, events.is_partial());
                 }
+                // A request runs for one event at least; a resumed one may have had them all.
+                if conn.is_unframed() && attempt.first.is_none() && self.pos == 0 {
+                    let text = "the answer ended before its first event";
+                    return Err(self.lost(text, entry.is_ended()));
+                }
                 if events.is_partial() {
                     let text = "the answer ended in the middle of an event";
                     return Err(self.lost(text, entry.is_ended()));
