Do not take an answer without events for the result of a batch item

A success that is no event stream ended an item with the text that it had so far: none, or that of the attempts before.

Evidence: job_item_answered_without_events_is_not_complete failed before; the item was listed as succeeded with an empty text.

Change: for batch work such an answer is broken, and the item is tried again.

--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -149,6 +149,10 @@
         if head.status == 200 && is_stream {
             return self.read_events(slot, attempt, conn, &head, entry);
         }
+        if head.status < 400 && self.work.class == Class::Batch {
+            let text = format!("an answer with status {} has no events", head.status);
+            return Err(broken(&text));
+        }
         self.read_whole(slot, conn, &head, entry)
     }
 
