Decode the software versions of servers and log them

The entries of servers name the version of their software; nothing read it, and no log line told when several versions were in service. Server.software has it, and StateLoaded names the versions in force.

--- a/examples/capacity/config.rs
+++ b/examples/capacity/config.rs
@@ -30,6 +30,7 @@
         fenced: true,
         leaving: false,
         start: 0,
+        software: "".into(),
     }
 }
 
--- a/src/config/fold.rs
+++ b/src/config/fold.rs
@@ -274,6 +274,7 @@
                 fenced: *fenced,
                 leaving: *leaving,
                 start: 0,
+                software: Name::default(),
             }),
             _ => None,
         };
--- a/src/config/types.rs
+++ b/src/config/types.rs
@@ -65,6 +65,10 @@
     /// Incarnation number, higher after each restart; zero if unknown.
     #[serde(default)]
     pub start: u64,
+    /// Version of its software, not of its models; empty if unknown. A stream goes on only at servers with
+    /// the version that began it.
+    #[serde(default)]
+    pub software: Name,
 }
 
 /// A route from a path to the fixed addresses of a plain service; compare [`PassRoute`].
--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -117,7 +117,13 @@
         let mut known = self.lock();
         if known.fleet.update(update) {
             let (at, count) = (known.fleet.at, known.fleet.value.len());
-            note_loaded(host, "servers", at, &format!("servers={count}"));
+            let versions = software_versions(&known.fleet.value).join(",");
+            note_loaded(
+                host,
+                "servers",
+                at,
+                &format!("servers={count} software={versions}"),
+            );
         }
         known.fleet_fresh = known.fleet_fresh.max(Some(fresh));
         known.install_state(host);
@@ -128,6 +134,14 @@
     }
 }
 
+/// The software versions of `servers`, sorted.
+fn software_versions(servers: &[Server]) -> Vec<&str> {
+    let mut versions: Vec<&str> = servers.iter().map(|s| &*s.software).collect();
+    versions.sort_unstable();
+    versions.dedup();
+    versions
+}
+
 impl Known {
     /// Version of both parts together. It increases with each change, so that hosts can tell whether
     /// they are behind another.
--- a/standin/src/harness.rs
+++ b/standin/src/harness.rs
@@ -132,6 +132,7 @@
                 fenced: c.fenced,
                 leaving: false,
                 start: 0,
+                software: "".into(),
             })
             .collect::<Vec<_>>();
         let change = seed_change(&servers, &self.plan.workspaces);
