Let a stream go on only at servers of the software version that began it

Change: the first event binds a piece of work to the version of its server. From then on only servers of that version are asked for slots. Where none takes work any more, an answer whose events the caller has is cut at once (version_gone, or the failure of the server if one may have run it), and a batch item begins again from its first event at any version, as nobody has seen its text.

Why it works: every attempt takes its server from Routes::order, which knows the version, and checks the server of its slot once more before it sends.

--- a/src/error/mod.rs
+++ b/src/error/mod.rs
@@ -66,6 +66,8 @@
     Preempted,
     /// The request or a segment of its prompt is in quarantine because it crashes backend servers.
     Quarantined,
+    /// The stream cannot go on: no backend server has the software version that began it.
+    VersionGone,
     /// The work was cancelled by its caller.
     Cancelled,
     /// The work is not repeatable and its outcome is unknown.
--- a/src/error/table.rs
+++ b/src/error/table.rs
@@ -43,7 +43,7 @@
 
 impl Kind {
     /// All kinds, in declaration order.
-    pub const ALL: [Kind; 31] = [
+    pub const ALL: [Kind; 32] = [
         Kind::BadRequest,
         Kind::RequestCut,
         Kind::Unauthorized,
@@ -72,6 +72,7 @@
         Kind::KeyWithdrawn,
         Kind::Preempted,
         Kind::Quarantined,
+        Kind::VersionGone,
         Kind::Cancelled,
         Kind::OutcomeUnknown,
         Kind::Internal,
@@ -108,6 +109,7 @@
             Kind::KeyWithdrawn => row(401, "key_withdrawn", Ran::Yes, None),
             Kind::Preempted => row(503, "preempted", Ran::Yes, SOON),
             Kind::Quarantined => row(422, "quarantined", Ran::No, None),
+            Kind::VersionGone => row(503, "version_gone", Ran::No, None),
             Kind::Cancelled => row(409, "cancelled", Ran::Unknown, None),
             Kind::OutcomeUnknown => row(502, "outcome_unknown", Ran::Unknown, None),
             Kind::Internal => row(500, "internal", Ran::Unknown, None),
--- a/src/route/acquire.rs
+++ b/src/route/acquire.rs
@@ -48,7 +48,13 @@
             if self.may_return_work() && self.host.now() >= give_up {
                 return Err(Fail::new(Kind::Overloaded, "no free slot for batch work"));
             }
-            let order = match self.host.routes.order(self.host, self.work, &self.tried) {
+            self.settle_version()?;
+            let version = self.version.as_ref();
+            let order = self
+                .host
+                .routes
+                .order(self.host, self.work, version, &self.tried);
+            let order = match order {
                 Ok(order) => order,
                 // An ejected server may soon be due for a probe.
                 Err(_) if pauses < RETRY_PAUSES_MAX && self.may_pause() => {
@@ -77,6 +83,29 @@
         }
     }
 
+    /// Checks that a server with the version that began the stream takes work. Batch work without one begins
+    /// again at any version.
+    ///
+    /// # Errors
+    /// `VersionGone` for a stream whose events its caller has.
+    fn settle_version(&mut self) -> Res<()> {
+        let Some(version) = &self.version else {
+            return Ok(());
+        };
+        let host = self.host;
+        if host.routes.has_version(host, &self.work.model, version) {
+            return Ok(());
+        }
+        let (id, last, batch) = (&*self.work.id, self.pos, self.work.class == Class::Batch);
+        tracing::info!(id, version = &**version, last, batch, "version_gone_midway");
+        if batch {
+            self.restart();
+            return Ok(());
+        }
+        let text = format!("no server with software version \"{version}\" takes work");
+        Err(Fail::new(Kind::VersionGone, text))
+    }
+
     /// Whether the work may be returned to its job. Not if it already has tokens: they would be
     /// generated again.
     fn may_return_work(&self) -> bool {
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -10,7 +10,7 @@
     error::{Fail, Kind, Res},
     gate::{Slot, cancel_at},
     timeline::Happening,
-    wire::{Answer, Class},
+    wire::{Answer, Class, Name},
 };
 use std::net::SocketAddr;
 
@@ -28,6 +28,8 @@
     pub(super) addr: SocketAddr,
     /// Start number of the server that the work is sent to.
     pub(super) start: u64,
+    /// Its software version.
+    pub(super) software: Name,
     pub(super) began: Time,
     pub(super) first: Option<Time>,
 }
@@ -53,6 +55,10 @@
             let text = "the backend server is leaving and takes no new work";
             return Err(Abort::Failed(Fail::new(Kind::Unreachable, text)));
         }
+        if self.version.as_ref().is_some_and(|v| *v != server.software) {
+            let text = "the backend server has another software version than the stream";
+            return Err(Abort::Failed(Fail::new(Kind::Unreachable, text)));
+        }
         if let Err(fail) = self.permit_segments() {
             return Err(Abort::Final(self.final_fail(fail)));
         }
@@ -61,6 +67,7 @@
         let mut attempt = Attempt {
             addr: server.addr,
             start: server.start,
+            software: server.software.clone(),
             began: host.now(),
             first: None,
         };
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -86,6 +86,8 @@
     pub(super) text: String,
     /// Position of the next token.
     pub(super) pos: u32,
+    /// Software version that began the stream, once it has events.
+    pub(super) version: Option<Name>,
     /// Slot requests so far; their numbers make the attempt ids unique.
     pub(super) asks: u32,
     /// Attempts of a forwarded request that a server may have run.
@@ -128,6 +130,7 @@
         sink,
         text: String::new(),
         pos: work.request.as_ref().map_or(0, |r| r.after),
+        version: None,
         asks: 0,
         sent: 0,
         admitted: false,
@@ -260,6 +263,13 @@
         }
     }
 
+    /// Drops the events so far, so that any server may begin again.
+    pub(super) fn restart(&mut self) {
+        self.text.clear();
+        self.pos = self.work.request.as_ref().map_or(0, |r| r.after);
+        self.version = None;
+    }
+
     /// Lets preempted batch work resume from its position, unless the host stops.
     fn resume_preempted(&mut self) -> Res<()> {
         let fail = Fail::new(Kind::Preempted, "the work was preempted by online requests");
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -199,7 +199,7 @@
                     empty.append(&mut event.raw);
                     event.raw = std::mem::take(&mut empty);
                 }
-                self.deliver_event(head, &event)?;
+                self.deliver_event(attempt, head, &event)?;
             }
             // Neither bytes of an incomplete event nor comments count as progress.
             if has_event {
@@ -235,7 +235,12 @@
         }
     }
 
-    fn deliver_event(&mut self, head: &Head, event: &Event) -> Result<(), Abort> {
+    fn deliver_event(
+        &mut self,
+        attempt: &Attempt,
+        head: &Head,
+        event: &Event,
+    ) -> Result<(), Abort> {
         self.check_deadline().map_err(Abort::Final)?;
         if let Some(id) = event.id {
             if id != self.pos + 1 {
@@ -243,6 +248,7 @@
                 return Err(broken(&text));
             }
             self.pos = id;
+            self.version.get_or_insert_with(|| attempt.software.clone());
         } else if self.pos > 0 {
             let text = format!("an event without id came after event {}", self.pos);
             return Err(broken(&text));
@@ -254,8 +260,7 @@
             self.text += &event.data;
             if self.text.len() > ITEM_TEXT_MAX_BYTES {
                 // Another server starts from the beginning.
-                self.text.clear();
-                self.pos = self.work.request.as_ref().map_or(0, |r| r.after);
+                self.restart();
                 return Err(broken("the text of the item is too long"));
             }
         }
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -151,11 +151,21 @@
     }
 
     /// Servers to ask for a slot for `work`, best first; those in `tried` only if there are no others.
+    /// Only servers with the software `version`, if it is given.
     ///
     /// # Errors
     /// `Overloaded` if no server with the model takes work.
-    pub fn order(&self, host: &Host, work: &Work, tried: &[Name]) -> Res<Vec<Name>> {
-        let servers = self.servers_for(host, &work.model);
+    pub fn order(
+        &self,
+        host: &Host,
+        work: &Work,
+        version: Option<&Name>,
+        tried: &[Name],
+    ) -> Res<Vec<Name>> {
+        let servers = match version {
+            Some(version) => self.servers_with(host, &work.model, version),
+            None => self.servers_for(host, &work.model),
+        };
         if servers.is_empty() {
             let text = format!("no server has model \"{}\" loaded", work.model);
             return Err(Fail::new(Kind::Overloaded, text));
@@ -215,11 +225,36 @@
         servers
     }
 
+    /// The servers for `model` with the software `version`: those among the ones that this host uses, or
+    /// all if there is none among them.
+    fn servers_with(&self, host: &Host, model: &Name, version: &Name) -> Arc<[Server]> {
+        let used = self.servers_for(host, model);
+        let same = used.iter().filter(|s| s.software == *version).cloned();
+        let same: Arc<[Server]> = same.collect();
+        if !same.is_empty() {
+            return same;
+        }
+        let is_able = |s: &&Server| serves(s, model, version);
+        host.config
+            .view(|state| state.servers.iter().filter(is_able).cloned().collect())
+    }
+
+    /// Whether a server with the software `version` takes work for `model`.
+    pub fn has_version(&self, host: &Host, model: &Name, version: &Name) -> bool {
+        let is_usable = |s: &Server| serves(s, model, version) && !self.departures.has(s);
+        host.config
+            .view(|state| state.servers.iter().any(is_usable))
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<ServerStats>> {
         self.stats.lock().expect("routing state")
     }
 }
 
+fn serves(server: &Server, model: &Name, version: &Name) -> bool {
+    !server.leaving && server.software == *version && server.models.contains(model)
+}
+
 /// The servers that `host` uses for `model`, sorted by name.
 fn choose_servers(host: &Host, model: &Name) -> ModelServers {
     host.config.view(|state| {
--- a/src/route/wait.rs
+++ b/src/route/wait.rs
@@ -129,7 +129,10 @@
     pub(super) fn others(&self, server: &Name) -> Res<Vec<Name>> {
         let mut tried = self.tried.clone();
         tried.push(server.clone());
-        self.host.routes.order(self.host, self.work, &tried)
+        let version = self.version.as_ref();
+        self.host
+            .routes
+            .order(self.host, self.work, version, &tried)
     }
 }
 
