Keep the software versions of new streams in the log while there are several

Ruled out: memory in hosts, alone or in peers, since all may be lost at once; recording all streams, which costs an append a stream for ever.

Change: while a host sees several versions of a service, or did within 15 s, it has the log record the version of each new stream that may be resumed before it sends it, in the stream origins. A host that a caller resumes a stream at reads the log to its end. A stream without a record has the only version; where that cannot be told, the request is refused before anything runs. A host that sees a second version notes that in the log at once.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -9,7 +9,7 @@
     kernel::Host,
     route::{self, Sink},
     timeline::Happening,
-    wire::{Answer, Class, Name, Work},
+    wire::{Answer, Class, Name, Software, Work},
 };
 use std::{
     sync::{
@@ -166,6 +166,7 @@
         slot_deadline: host.now() + TRY_TIMEOUT,
         since: task.accepted,
         request: task.spec.request.clone(),
+        software: Software::Any,
     };
     let mut sink = ItemSink {
         host,
--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{Arc, Condvar, Mutex},
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// Monotonic time since the clock's origin. Comparable only within one clock and its clones.
@@ -16,6 +16,9 @@
 
     /// Blocks the calling thread for `span`.
     fn sleep(&self, span: Duration);
+
+    /// Time since 1970, which hosts have in common up to the error of their clocks.
+    fn unix(&self) -> Duration;
 }
 
 /// The operating system's monotonic clock.
@@ -47,6 +50,13 @@
     fn sleep(&self, span: Duration) {
         thread::sleep(span);
     }
+
+    fn unix(&self) -> Duration {
+        // A time of day before 1970 counts as 1970.
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+    }
 }
 
 /// A clock that stands still until it is advanced, for tests.
@@ -81,4 +91,8 @@
             now = self.shared.1.wait(now).expect("clock lock");
         }
     }
+
+    fn unix(&self) -> Duration {
+        self.now()
+    }
 }
--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -151,6 +151,7 @@
 
     /// Installs the state derived from both parts.
     fn install_state(&self, host: &Host) {
+        host.note_versions(&self.fleet.value);
         if self.catalog.at == 0 {
             return;
         }
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -12,7 +12,7 @@
     limit::Permit,
     route::dispatch,
     timeline::Happening,
-    wire::{Answer, Class, Name, Work},
+    wire::{Answer, Class, Name, Software, Work},
 };
 use std::{io, sync::Arc};
 
@@ -99,6 +99,7 @@
         slot_deadline: deadline,
         since: 0,
         request: None,
+        software: Software::Any,
     }
 }
 
--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -242,9 +242,14 @@
         let mut is_initial = true;
         let mut pause = RETRY_PAUSE;
         while !self.stopped.load(Ordering::Relaxed) {
+            let began = self.clock.now();
             if self.read_once(is_initial).is_ok() {
                 is_initial = false;
                 pause = RETRY_PAUSE;
+                let spent = self.clock.now().saturating_sub(began);
+                if spent < F::READ_PAUSE {
+                    self.clock.sleep(F::READ_PAUSE - spent);
+                }
             } else {
                 self.progress.lock().expect("progress").is_down = true;
                 // Jitter, so that hosts that failed together do not retry at the same time.
--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -44,6 +44,9 @@
     /// Time that a read of the log waits for new records.
     const READ_WAIT: Duration = Duration::from_millis(500);
 
+    /// Shortest time from one read that found records to the next.
+    const READ_PAUSE: Duration = Duration::ZERO;
+
     /// Applies the record at `at`. Positions increase from call to call.
     fn apply(&mut self, at: Pos, rec: &Self::Record);
 }
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -23,6 +23,7 @@
     order::Orders,
     pass::{AttemptRegistry, Dialect},
     quarantine::{Quarantine, Segments},
+    resume::{Origins, Resume},
     route::Routes,
     settings::Settings,
     snapshot::Snapshots,
@@ -55,6 +56,9 @@
 /// Follower of the quarantine of prompt segments.
 pub type QuarantineFollower = Follow<Quarantine>;
 
+/// Follower of the software versions at which streams began.
+pub type OriginsFollower = Follow<Origins>;
+
 /// One host with all its roles.
 #[derive(Debug)]
 pub struct Host {
@@ -80,6 +84,10 @@
     pub calls: CallsFollower,
     /// Follower of the quarantine of prompt segments.
     pub quarantine: QuarantineFollower,
+    /// Follower of the software versions at which streams began.
+    pub origins: OriginsFollower,
+    /// What else this host knows of the software versions of streams.
+    pub resume: Resume,
     /// What this host knows of prompt segments by itself and from reports.
     pub segments: Segments,
     /// Membership: the other hosts and whether they answer.
@@ -189,6 +197,8 @@
             calls: follow(&relay, &clock, &settings),
             quarantine: follow(&relay, &clock, &settings),
             segments: Segments::default(),
+            origins: follow(&relay, &clock, &settings),
+            resume: Resume::default(),
             members: Members::new(&me, &settings),
             gates: Gates::default(),
             routes: Routes::new(settings.retries),
@@ -237,6 +247,8 @@
             host.config.start();
             // An outside system has no calls that run at most once.
             host.calls.start();
+        } else {
+            host.origins.start();
         }
         host.batch.start(&host);
         host.homes.start();
@@ -360,6 +372,7 @@
         self.batch.streams.kill();
         self.homes.stop();
         self.quarantine.stop();
+        self.origins.stop();
         self.calls.stop();
         for server in self.servers.lock().expect("servers").iter() {
             server.kill();
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -14,7 +14,8 @@
 pub use call::{Call, serve_call};
 pub use edges::{Edges, Outside};
 pub use host::{
-    CallsFollower, ConfigFollower, Follow, HomesFollower, Host, JobFollower, QuarantineFollower,
+    CallsFollower, ConfigFollower, Follow, HomesFollower, Host, JobFollower, OriginsFollower,
+    QuarantineFollower,
 };
 pub use relay::{RelayLog, neighbours};
 pub use router::Router;
--- a/src/pass/forward.rs
+++ b/src/pass/forward.rs
@@ -10,7 +10,7 @@
     kernel::Host,
     route::dispatch,
     timeline::Happening,
-    wire::{Class, Name, Work},
+    wire::{Class, Name, Software, Work},
 };
 use std::{io, sync::Arc, time::Duration};
 
@@ -38,6 +38,8 @@
     pub tokens: u32,
     /// Identifies the prompt prefix that other requests share; empty for none.
     pub prefix: Name,
+    /// Id of the request that brought the first event of the stream that this one resumes.
+    pub resumes: Option<Name>,
 }
 
 /// The route of a request and the caller on whose behalf it runs.
@@ -121,7 +123,18 @@
         },
         None => None,
     };
-    let work = work(access, arrival, began);
+    let resumed = match resume(host, access, &arrival) {
+        Ok(resumed) => resumed,
+        Err(fail) => {
+            note_refusal(host, &id, &fail);
+            return super::send_error(exchange, &fail);
+        }
+    };
+    let mut work = work(access, arrival, began);
+    if let Some((service, version)) = resumed {
+        work.model = service;
+        work.software = Software::Only(version);
+    }
     host.timeline
         .note(Happening::Received, &id, None, &work.workspace);
     let mut sink = PassSink::new(host, exchange, permit, began);
@@ -139,6 +152,25 @@
     host.served.refused(fail.kind);
 }
 
+/// Service and software version at which the stream goes on that a request resumes; `None` for a request
+/// that resumes none.
+fn resume(host: &Host, access: &Access, arrival: &Arrival) -> Res<Option<(Name, Name)>> {
+    let (route, request) = (&access.route, &arrival.request);
+    if route.kind != PassKind::Stream || request.after == 0 {
+        return Ok(None);
+    }
+    let first = arrival.resumes.as_ref().unwrap_or(&request.id);
+    let origin = host.origin_of(&request.id, first, &route.target(first))?;
+    if !route.targets.iter().any(|t| t.service == origin.0) {
+        let text = format!(
+            "the route no longer leads to the stream's service \"{}\"",
+            origin.0
+        );
+        return Err(Fail::new(Kind::VersionGone, text));
+    }
+    Ok(Some(origin))
+}
+
 fn token_wait(access: &Access) -> Duration {
     match access.route.aim.is_zero() {
         true => TOKEN_WAIT_MAX,
@@ -178,6 +210,10 @@
         deadline: began + limit,
         slot_deadline: began + wait.min(limit),
         since: 0,
+        software: match route.kind {
+            PassKind::Stream if route.resumable => Software::Start,
+            _ => Software::Any,
+        },
         request: Some(Arc::new(request)),
     }
 }
--- /dev/null
+++ b/src/resume/decide.rs
@@ -0,0 +1,55 @@
+//! Decides at which software version a stream goes on that its caller resumes.
+
+use super::Usage;
+use crate::wire::Name;
+
+/// What a host knows of a stream that has no record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Evidence {
+    /// The versions of its service that are in use.
+    pub usage: Usage,
+    /// Whether the host has read all records that were in the log when the caller asked.
+    pub is_read: bool,
+    /// Whether the host reaches neither the log nor other hosts, so that others may know newer versions.
+    pub is_cut_off: bool,
+    /// Whether the log has a recent record of the service: several versions were in use.
+    pub has_records: bool,
+}
+
+/// The version of a stream that has no record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Origin {
+    /// It can only have begun at this version.
+    Version(Name),
+    /// It may have begun at several versions; the text says why.
+    Unknown(&'static str),
+}
+
+/// The version at which a stream without a record began.
+///
+/// Streams are recorded while several versions are in use, so one without a record began when there was
+/// only one, or could not be recorded.
+pub fn decide(evidence: &Evidence) -> Origin {
+    let Evidence {
+        usage,
+        is_read,
+        is_cut_off,
+        has_records,
+    } = evidence;
+    if *is_cut_off {
+        return Origin::Unknown("this host is cut off from the log and the other hosts");
+    }
+    let Some(sole) = usage.sole() else {
+        return match (&usage.base, is_read) {
+            (Some(base), true) if usage.is_covered => Origin::Version(base.clone()),
+            (_, false) => Origin::Unknown("the records of streams cannot be read"),
+            _ => Origin::Unknown("several software versions are in use"),
+        };
+    };
+    match (usage.is_covered, is_read, has_records) {
+        (true, ..) => Origin::Version(sole.clone()),
+        (false, false, _) => Origin::Unknown("the records of streams cannot be read"),
+        (false, true, true) => Origin::Unknown("several software versions were in use"),
+        (false, true, false) => Origin::Version(sole.clone()),
+    }
+}
--- /dev/null
+++ b/src/resume/mod.rs
@@ -0,0 +1,46 @@
+//! Keeps a stream on the software version that began it.
+//!
+//! What backend servers of two software versions write does not fit together, and the servers do not check it. A
+//! stream that lost its server goes on within its answer only at servers of the same version, as `route`
+//! sees to. A caller may also resume a stream that was cut, at any host. So while several versions of a
+//! service are in use, the version of each new stream is recorded in the log before the stream is sent
+//! to a server, and every host finds it there, also after the loss of all hosts.
+//!
+//! While only one version is in use nothing is recorded: a stream without a record has that version.
+
+mod begun;
+mod decide;
+mod origins;
+mod resolve;
+mod versions;
+
+pub use begun::Begun;
+pub use decide::{Evidence, Origin, decide};
+pub use origins::{Origins, Record, Recorded};
+pub use versions::{RESUME_MAX, Usage, Versions};
+
+use crate::clock::Time;
+use std::sync::{Mutex, MutexGuard};
+
+/// What one host knows of the versions of streams, besides the folded log.
+#[derive(Debug, Default)]
+pub struct Resume {
+    versions: Mutex<Versions>,
+    begun: Mutex<Begun>,
+    /// When a record last was not appended in time.
+    unrecorded: Mutex<Option<Time>>,
+}
+
+impl Resume {
+    fn versions(&self) -> MutexGuard<'_, Versions> {
+        self.versions.lock().expect("software versions")
+    }
+
+    fn begun(&self) -> MutexGuard<'_, Begun> {
+        self.begun.lock().expect("begun streams")
+    }
+
+    fn unrecorded(&self) -> MutexGuard<'_, Option<Time>> {
+        self.unrecorded.lock().expect("missing records")
+    }
+}
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -10,7 +10,7 @@
     quarantine::{self, Admission, Permit},
     retry::{self, Next},
     timeline::Happening,
-    wire::{Answer, Class, Name, Work},
+    wire::{Answer, Class, Name, Software, Work},
 };
 use std::{sync::Arc, time::Duration};
 
@@ -130,7 +130,10 @@
         sink,
         text: String::new(),
         pos: work.request.as_ref().map_or(0, |r| r.after),
-        version: None,
+        version: match &work.software {
+            Software::Only(version) => Some(version.clone()),
+            Software::Any | Software::Start => None,
+        },
         asks: 0,
         sent: 0,
         admitted: false,
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -14,7 +14,7 @@
     },
     quarantine::LostAttempt,
     timeline::Happening,
-    wire::{Answer, Class},
+    wire::{Answer, Class, Name, Software},
 };
 use std::{fmt::Write, time::Duration};
 
@@ -248,7 +248,9 @@
                 return Err(broken(&text));
             }
             self.pos = id;
-            self.version.get_or_insert_with(|| attempt.software.clone());
+            if self.version.is_none() {
+                self.begin_version(&attempt.software);
+            }
         } else if self.pos > 0 {
             let text = format!("an event without id came after event {}", self.pos);
             return Err(broken(&text));
@@ -270,6 +272,15 @@
             .map_err(Abort::Final)
     }
 
+    /// Binds the stream to the software `version` of its first event.
+    fn begin_version(&mut self, version: &Name) {
+        self.version = Some(version.clone());
+        if self.work.software == Software::Start {
+            self.host
+                .note_begun(&self.work.id, &self.work.model, version);
+        }
+    }
+
     /// Reads an answer that is not an event stream.
     fn read_whole(
         &mut self,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -18,6 +18,14 @@
     pub bytes: Vec<u8>,
 }
 
+/// Stream with the software versions at which streams began.
+pub const ORIGINS_STREAM: &str = "origins";
+
+/// Whether only the records of the last minute of `stream` are needed, so that a log may drop others.
+pub fn is_brief(stream: &str) -> bool {
+    stream == ORIGINS_STREAM
+}
+
 /// A range of consecutive records of a stream.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Page {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -44,6 +44,20 @@
     pub since: Pos,
     /// Request to forward unchanged; none for work of this product's own interface.
     pub request: Option<Arc<Request>>,
+    /// Which software versions of the servers will do.
+    pub software: Software,
+}
+
+/// Which software versions of the servers will do for work.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub enum Software {
+    /// All of them.
+    #[default]
+    Any,
+    /// All of them for the start of a stream, which its caller may resume at any host.
+    Start,
+    /// The one that began the stream of which this is the rest.
+    Only(Name),
 }
 
 /// A complete answer.
--- a/tests/online_answers.rs
+++ b/tests/online_answers.rs
@@ -3,7 +3,7 @@
 use gooseberrytack::{
     error::{Fail, Kind, Res},
     route::{Sink, dispatch},
-    wire::{Class, Work},
+    wire::{Class, Software, Work},
 };
 use standin::{EngineConfig, Faults, Got, Harness, Plan, answer_to, key_of, wait_for};
 use std::{sync::Arc, thread, time::Duration};
@@ -41,6 +41,7 @@
         slot_deadline: harness.host(0).now() + Duration::from_secs(30),
         since: 0,
         request: None,
+        software: Software::Any,
     }
 }
 
--- a/tests/online_priority.rs
+++ b/tests/online_priority.rs
@@ -6,7 +6,7 @@
     gate::{Reply, SlotRequest, gate_key},
     http::Client,
     route::{Sink, dispatch},
-    wire::{Answer, Class, Work},
+    wire::{Answer, Class, Software, Work},
 };
 use standin::{EngineConfig, Got, Harness, MODEL, Plan, answer_to, expected, wait_for};
 use std::{
@@ -64,6 +64,7 @@
                 slot_deadline: host.now() + Duration::from_secs(60),
                 since: 0,
                 request: None,
+                software: Software::Any,
             };
             match dispatch(&host, &work, &mut NullSink) {
                 Ok(answer) => return answer,
