Wait shorter for records of streams, and take fewer streams for older than a second version

By reading, before the review: a record that the log takes late (its answers are lost or slow) is not found when the caller resumes the stream within seconds, and the stream was then taken for one from before the second version for 15 s. It is for 5 s now, in which few servers have the second version; later it is refused. A stream waits for its record for 150 ms instead of 250 ms, half of an aim of 300 ms to the first event.

--- a/src/resume/mod.rs
+++ b/src/resume/mod.rs
@@ -17,7 +17,7 @@
 pub use begun::Begun;
 pub use decide::{Evidence, Origin, decide};
 pub use origins::{Origins, Record, Recorded};
-pub use versions::{RESUME_MAX, Usage, Versions};
+pub use versions::{BASE_MAX, RESUME_MAX, Usage, Versions};
 
 use crate::clock::Time;
 use std::sync::{Mutex, MutexGuard};
--- a/src/resume/resolve.rs
+++ b/src/resume/resolve.rs
@@ -15,7 +15,7 @@
 /// Interval of the checks of the versions in use against the log.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest wait for a record before the stream is sent.
-const RECORD_WAIT: Duration = Duration::from_millis(250);
+const RECORD_WAIT: Duration = Duration::from_millis(150);
 /// Time after a wait in vain in which streams do not wait for their records.
 const RECORD_PAUSE: Duration = Duration::from_secs(1);
 
--- a/src/resume/versions.rs
+++ b/src/resume/versions.rs
@@ -6,6 +6,10 @@
 /// Longest time after the start of a stream in which its caller may resume it.
 pub const RESUME_MAX: Duration = Duration::from_secs(15);
 
+/// Time after the arrival of a second version in which streams without a record are taken for older than
+/// it. Most streams are over by then, and one whose record the log lost must not be joined.
+pub const BASE_MAX: Duration = Duration::from_secs(5);
+
 /// The versions of all services.
 #[derive(Debug, Clone, Default)]
 pub struct Versions {
@@ -87,14 +91,12 @@
             return Usage::default();
         };
         let service = &self.services[at];
-        let is_recent = |t: Time| now.saturating_sub(t) < RESUME_MAX;
+        let is_within = |t: Time, span| now.saturating_sub(t) < span;
+        let is_base_valid = service.mixed.is_none_or(|t| is_within(t, BASE_MAX));
         Usage {
             versions: service.seen.iter().map(|s| s.version.clone()).collect(),
-            is_covered: service.is_confirmed || !is_recent(service.since),
-            base: service
-                .base
-                .clone()
-                .filter(|_| service.mixed.is_none_or(is_recent)),
+            is_covered: service.is_confirmed || !is_within(service.since, RESUME_MAX),
+            base: service.base.clone().filter(|_| is_base_valid),
         }
     }
 
