Order servers with any number of slots without overflow

A server list declared from outside may claim up to 4,294,967,295 slots, while operators' own settings end at 100,000. In builds that check overflow, each batch item that saw a server with 2,147,483,648 slots panicked, some with the routing state locked, which then failed for all later requests too; no item was done.

Cause: free slots were cast from u32 to i32, subtracted from and negated in i32.

Evidence: order_batch_any_spare failed before with "attempt to negate with overflow" (choose.rs). Release builds, which wrap, were not run.

Change: the slots saturate at i32::MAX, the subtraction saturates, and the negation is in f32.

--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -75,7 +75,7 @@
         }
         Class::Batch => {
             usable.retain(|c| !chosen.contains(c));
-            take_best_of_two(&mut usable, &mut chosen, most, rng, |c| -c.spare as f32);
+            take_best_of_two(&mut usable, &mut chosen, most, rng, |c| -(c.spare as f32));
         }
     }
     chosen.truncate(most);
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -297,7 +297,7 @@
         name: server.name.clone(),
         is_near,
         load: 0.0,
-        spare: slots as i32,
+        spare: spare(slots, Counts::default()),
         availability: Availability::Available,
     };
     let Ok(at) = stats.binary_search_by(|s| s.server.cmp(&server.name)) else {
@@ -314,11 +314,17 @@
     };
     candidate.load = online as f32 / slots as f32;
     if is_fresh {
-        candidate.spare = slots as i32 - (c.online + c.batch + c.waiting + c.backlog) as i32;
+        candidate.spare = spare(slots, c);
     }
     candidate
 }
 
+/// Free slots of `slots` minus waiting work, for any number of slots that a server may claim.
+fn spare(slots: u32, c: Counts) -> i32 {
+    let slots = i32::try_from(slots).unwrap_or(i32::MAX);
+    slots.saturating_sub_unsigned(c.online + c.batch + c.waiting + c.backlog)
+}
+
 fn median_ttft(stats: &[ServerStats]) -> Option<f64> {
     let mut samples: Vec<f64> = stats.iter().filter_map(|s| s.health.ttft()).collect();
     samples.sort_by(f64::total_cmp);
--- a/tests/route_choose.rs
+++ b/tests/route_choose.rs
@@ -102,6 +102,17 @@
     assert!(!chosen.contains(&all[0].name) && !chosen.contains(&all[2].name));
 }
 
+#[test]
+fn order_batch_any_spare() {
+    let (mut all, mut rng) = (servers(3), rng());
+    for (candidate, spare) in all.iter_mut().zip([i32::MIN, 0, i32::MAX]) {
+        candidate.spare = spare;
+    }
+    for _ in 0..50 {
+        assert_eq!(order(Class::Batch, None, &all, 3, &mut rng).len(), 3);
+    }
+}
+
 #[test]
 fn order_batch_prefers_spare() {
     let (mut all, mut rng) = (servers(2), rng());
