--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -243,7 +243,7 @@
     ) -> Result<(), Abort> {
         self.check_deadline().map_err(Abort::Final)?;
         if let Some(id) = event.id {
-            if id != self.pos + 1 {
+            if self.pos.checked_add(1) != Some(id) {
                 let text = format!("event {id} came after event {}", self.pos);
                 return Err(broken(&text));
             }
