Do not take the records of hosts that just started for signs of several versions

By reading: a host that just started records its streams until it has read the log. Such a record counted as a sign that several versions were in use, so that all hosts that started at the same moment went on recording, and refused resumed streams without a record, for 15 s after the loss of all hosts, though there was one version all the time.

Change: a record says whether its host sees several versions, and only those that do, and the marks, count; a host takes a service for one of one version as soon as the log says so, not at its next check.

--- a/src/resume/decide.rs
+++ b/src/resume/decide.rs
@@ -12,8 +12,8 @@
     pub is_read: bool,
     /// Whether the host reaches neither the log nor other hosts, so that others may know newer versions.
     pub is_cut_off: bool,
-    /// Whether the log has a recent record of the service: several versions were in use.
-    pub has_records: bool,
+    /// Whether the log tells that several versions of the service were lately in use.
+    pub was_mixed: bool,
 }
 
 /// The version of a stream that has no record.
@@ -34,7 +34,7 @@
         usage,
         is_read,
         is_cut_off,
-        has_records,
+        was_mixed,
     } = evidence;
     if *is_cut_off {
         return Origin::Unknown("this host is cut off from the log and the other hosts");
@@ -46,7 +46,7 @@
             _ => Origin::Unknown("several software versions are in use"),
         };
     };
-    match (usage.is_covered, is_read, has_records) {
+    match (usage.is_covered, is_read, was_mixed) {
         (true, ..) => Origin::Version(sole.clone()),
         (false, false, _) => Origin::Unknown("the records of streams cannot be read"),
         (false, true, true) => Origin::Unknown("several software versions were in use"),
--- a/src/resume/origins.rs
+++ b/src/resume/origins.rs
@@ -24,9 +24,9 @@
     pub at: Pos,
 }
 
-/// The newest record of a service.
+/// When a host last saw several versions of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Latest {
+struct Mix {
     service: Name,
     /// Milliseconds since 1970.
     unix_ms: u64,
@@ -38,7 +38,7 @@
     /// Sorted by id.
     streams: Vec<Recorded>,
     /// Sorted by service.
-    latest: Vec<Latest>,
+    mixes: Vec<Mix>,
 }
 
 /// A record of the stream `origins`.
@@ -50,6 +50,8 @@
     pub service: Name,
     /// Software version of the server; empty without a request.
     pub version: Name,
+    /// Whether the host sees several versions of the service; one that just started may see only the last.
+    pub is_mixed: bool,
     /// Time of the host, in milliseconds since 1970.
     pub unix_ms: u64,
 }
@@ -61,30 +63,27 @@
         Some(&self.streams[at])
     }
 
-    /// Time of the newest record of `service`, in milliseconds since 1970.
-    pub fn latest(&self, service: &str) -> Option<u64> {
+    /// When a host last saw several versions of `service`, in milliseconds since 1970.
+    pub fn last_mixed(&self, service: &str) -> Option<u64> {
         let found = self
-            .latest
+            .mixes
             .binary_search_by(|l| (*l.service).cmp(service))
             .ok()?;
-        Some(self.latest[found].unix_ms)
+        Some(self.mixes[found].unix_ms)
     }
 
-    fn note_latest(&mut self, rec: &Record) {
-        match self
-            .latest
-            .binary_search_by(|l| l.service.cmp(&rec.service))
-        {
+    fn note_mixed(&mut self, rec: &Record) {
+        match self.mixes.binary_search_by(|l| l.service.cmp(&rec.service)) {
             Ok(at) => {
-                let latest = &mut self.latest[at];
-                latest.unix_ms = latest.unix_ms.max(rec.unix_ms);
+                let mix = &mut self.mixes[at];
+                mix.unix_ms = mix.unix_ms.max(rec.unix_ms);
             }
             Err(at) => {
-                let latest = Latest {
+                let mix = Mix {
                     service: rec.service.clone(),
                     unix_ms: rec.unix_ms,
                 };
-                self.latest.insert(at, latest);
+                self.mixes.insert(at, mix);
             }
         }
     }
@@ -105,7 +104,9 @@
     const READ_PAUSE: Duration = Duration::from_millis(500);
 
     fn apply(&mut self, at: Pos, rec: &Record) {
-        self.note_latest(rec);
+        if rec.is_mixed {
+            self.note_mixed(rec);
+        }
         if rec.id.is_empty() {
             return;
         }
--- a/src/resume/resolve.rs
+++ b/src/resume/resolve.rs
@@ -1,6 +1,6 @@
 //! Records where streams begin, and finds out where they may go on.
 
-use super::{Evidence, Origin, RESUME_MAX, Record, decide};
+use super::{Evidence, Origin, RESUME_MAX, Record, Usage, decide};
 use crate::{
     clock::{Clock, Time},
     config::Server,
@@ -46,6 +46,7 @@
             id: Name::default(),
             service: service.clone(),
             version: Name::default(),
+            is_mixed: true,
             unix_ms: self.unix_ms(),
         })
     }
@@ -56,13 +57,15 @@
     /// Waits for the record for a short time only: a stream without it goes on all the same, and is not
     /// resumed by other hosts.
     pub fn record_origin(&self, id: &Name, service: &Name, version: &Name) {
-        if !self.needs_record(service) {
+        let usage = self.usage(service);
+        if usage.sole().is_some() && usage.is_covered {
             return;
         }
         let ticket = self.origins.submit(&Record {
             id: id.clone(),
             service: service.clone(),
             version: version.clone(),
+            is_mixed: usage.versions.len() > 1,
             unix_ms: self.unix_ms(),
         });
         let now = self.now();
@@ -122,23 +125,29 @@
     fn evidence(&self, service: &Name, since: Time) -> Evidence {
         let caught_up = self.origins.progress().caught_up;
         Evidence {
-            usage: self.resume.versions().usage(service, self.now()),
+            usage: self.usage(service),
             is_read: caught_up.is_some_and(|at| at >= since),
             is_cut_off: self.relay.is_cut_off(self),
-            has_records: self.has_records(service),
+            was_mixed: self.was_mixed(service),
         }
     }
 
-    /// Whether a stream of `service` may be resumed at a wrong version if it is not recorded.
-    fn needs_record(&self, service: &Name) -> bool {
-        let usage = self.resume.versions().usage(service, self.now());
-        usage.sole().is_none() || !usage.is_covered
+    /// The versions of `service` in use, by what this host saw or by the log.
+    fn usage(&self, service: &str) -> Usage {
+        let mut usage = self.resume.versions().usage(service, self.now());
+        usage.is_covered |= self.is_sole_in_log(service);
+        usage
     }
 
-    /// Whether a stream of `service` that may still be resumed has a record.
-    fn has_records(&self, service: &str) -> bool {
-        let latest = self.origins.view(|o| o.latest(service));
-        let age = latest.map(|l| self.unix_ms().saturating_sub(l));
+    /// Whether the log tells that streams of `service` that may still be resumed have one version.
+    fn is_sole_in_log(&self, service: &str) -> bool {
+        self.origins.progress().caught_up.is_some() && !self.was_mixed(service)
+    }
+
+    /// Whether a host saw several versions of `service` while streams began that may still be resumed.
+    fn was_mixed(&self, service: &str) -> bool {
+        let last = self.origins.view(|o| o.last_mixed(service));
+        let age = last.map(|l| self.unix_ms().saturating_sub(l));
         age.is_some_and(|a| u128::from(a) < RESUME_MAX.as_millis())
     }
 
@@ -163,7 +172,6 @@
     }
     if host.origins.progress().caught_up.is_none() {
         host.origins.read_now();
-    } else {
-        host.resume.versions().confirm(|s| !host.has_records(s));
     }
+    host.resume.versions().confirm(|s| host.is_sole_in_log(s));
 }
--- a/tests/resume_decide.rs
+++ b/tests/resume_decide.rs
@@ -129,7 +129,7 @@
         },
         is_read: true,
         is_cut_off: false,
-        has_records: false,
+        was_mixed: false,
     }
 }
 
@@ -154,14 +154,14 @@
 }
 
 #[test]
-fn decide_of_new_host_only_without_records() {
-    let new = |is_read, has_records| Evidence {
+fn decide_of_new_host_only_if_log_tells_of_no_other() {
+    let new = |is_read, was_mixed| Evidence {
         usage: Usage {
             is_covered: false,
             ..known().usage
         },
         is_read,
-        has_records,
+        was_mixed,
         ..known()
     };
     assert_eq!(decide(&new(true, false)), Origin::Version("v1".into()));
@@ -178,7 +178,7 @@
             base: base.map(Name::from),
         },
         is_read,
-        has_records: true,
+        was_mixed: true,
         ..known()
     };
     let v1 = Origin::Version("v1".into());
@@ -193,6 +193,7 @@
         id: id.into(),
         service: SERVICE.into(),
         version: version.into(),
+        is_mixed: true,
         unix_ms,
     }
 }
@@ -208,14 +209,26 @@
 }
 
 #[test]
-fn origins_mark_is_no_stream_but_recent() {
+fn origins_mark_is_no_stream_but_tells_of_versions() {
     let mut origins = Origins::default();
-    assert_eq!(origins.latest(SERVICE), None);
+    assert_eq!(origins.last_mixed(SERVICE), None);
     origins.apply(1, &record("", "", 10));
     assert_eq!(origins.stream(""), None);
-    assert_eq!(origins.latest(SERVICE), Some(10));
+    assert_eq!(origins.last_mixed(SERVICE), Some(10));
     origins.apply(2, &record("r1", "v1", 5));
-    assert_eq!(origins.latest(SERVICE), Some(10));
+    assert_eq!(origins.last_mixed(SERVICE), Some(10));
+}
+
+#[test]
+fn origins_record_of_new_host_tells_of_no_other_version() {
+    let mut origins = Origins::default();
+    let rec = Record {
+        is_mixed: false,
+        ..record("r1", "v1", 10)
+    };
+    origins.apply(1, &rec);
+    assert_eq!(origins.last_mixed(SERVICE), None);
+    assert!(origins.stream("r1").is_some());
 }
 
 #[test]
