--- a/src/resume/resolve.rs
+++ b/src/resume/resolve.rs
@@ -16,6 +16,11 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest wait for a record before the stream is sent.
 const RECORD_WAIT: Duration = Duration::from_millis(150);
+/// Time in which the log is read again for a stream whose version is not known: its record may be on its
+/// way.
+const READS_TIME: Duration = Duration::from_millis(250);
+/// Pause before the next read.
+const READ_PAUSE: Duration = Duration::from_millis(100);
 /// Time after a wait in vain in which streams do not wait for their records.
 const RECORD_PAUSE: Duration = Duration::from_secs(1);
 
@@ -100,25 +105,35 @@
             note_resumed(asked_by, id, &version, "begun here", Duration::ZERO);
             return Ok((service, version));
         }
-        self.origins.read_now();
-        let age = self.now().saturating_sub(began);
-        let recorded = self.origins.view(|o| o.stream(id).cloned());
-        if let Some(recorded) = recorded {
-            note_resumed(asked_by, id, &recorded.version, "recorded", age);
-            return Ok((recorded.service, recorded.version));
-        }
-        let evidence = self.evidence(service, began);
-        match decide(&evidence) {
-            Origin::Version(version) => {
-                note_resumed(asked_by, id, &version, "not recorded", age);
-                Ok((service.clone(), version))
+        loop {
+            let asked = self.now();
+            self.origins.read_now();
+            let age = self.now().saturating_sub(began);
+            if let Some(found) = self.origins.view(|o| o.stream(id).cloned()) {
+                note_resumed(asked_by, id, &found.version, "recorded", age);
+                return Ok((found.service, found.version));
             }
-            Origin::Unknown(cause) => {
-                let (id, resumes) = (asked_by, id);
-                tracing::info!(id, resumes, cause, ?evidence, ?age, "stream_not_resumed");
-                let text = format!("the stream \"{resumes}\" cannot be resumed: {cause}");
-                Err(Fail::new(Kind::NotReady, text).retry_after(RETRY_ELSEWHERE))
+            let evidence = self.evidence(service, asked);
+            let cause = match decide(&evidence) {
+                Origin::Version(version) => {
+                    note_resumed(asked_by, id, &version, "not recorded", age);
+                    return Ok((service.clone(), version));
+                }
+                Origin::Unknown(cause) => cause,
+            };
+            if evidence.is_cut_off || age >= READS_TIME {
+                tracing::info!(
+                    id = asked_by,
+                    resumes = id,
+                    cause,
+                    ?evidence,
+                    ?age,
+                    "stream_not_resumed"
+                );
+                let text = format!("the stream \"{id}\" cannot be resumed: {cause}");
+                return Err(Fail::new(Kind::NotReady, text).retry_after(RETRY_ELSEWHERE));
             }
+            self.clock.sleep(READ_PAUSE);
         }
     }
 
