Ask once more when a resumed stream without a length ends before an event

The item was listed as succeeded with three of four events, and an online stream looked complete.

Change: such an end is only taken for the end of the stream if the answer before it did not break off inside an event, and a second server ends in the same way. The judgement moves to route/ending.rs.

--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -88,6 +88,10 @@
     pub(super) pos: u32,
     /// Software version that began the stream, once it has events.
     pub(super) version: Option<Name>,
+    /// Whether the last answer broke off inside the event after `pos`.
+    pub(super) was_partial: bool,
+    /// Answers since the last event that ended with their connections without one.
+    pub(super) empty_ends: u32,
     /// Slot requests so far; their numbers make the attempt ids unique.
     pub(super) asks: u32,
     /// Attempts of a forwarded request that a server may have run.
@@ -134,6 +138,8 @@
             Software::Only(version) => Some(version.clone()),
             Software::Any | Software::Start => None,
         },
+        was_partial: false,
+        empty_ends: 0,
         asks: 0,
         sent: 0,
         admitted: false,
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod choose;
 mod dispatch;
+mod ending;
 mod health;
 mod leaving;
 mod passing;
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -104,12 +104,6 @@
         });
     }
 
-    /// Logs that the server ended an event stream by ending the connection.
-    fn note_unframed_end(&self, slot: &Slot, is_partial: bool) {
-        let (id, server, last) = (&*slot.id, &*slot.server, self.pos);
-        tracing::info!(id, server, last, is_partial, "unframed_stream_ended");
-    }
-
     /// Reads the answer and passes it back.
     fn read_answer(
         &mut self,
@@ -209,18 +203,14 @@
                 self.check_progress(since)?;
             }
             if !more {
-                if conn.is_unframed() {
-                    self.note_unframed_end(slot, events.is_partial());
-                }
-                // A request runs for one event at least; a resumed one may have had them all.
-                if conn.is_unframed() && attempt.first.is_none() && self.pos == 0 {
-                    let text = "the answer ended before its first event";
-                    return Err(self.lost(text, entry.is_ended()));
-                }
                 if events.is_partial() {
+                    self.was_partial = true;
                     let text = "the answer ended in the middle of an event";
                     return Err(self.lost(text, entry.is_ended()));
                 }
+                if conn.is_unframed() {
+                    self.check_unframed_end(slot, attempt.first.is_some())?;
+                }
                 self.sink.begin(head).map_err(Abort::Final)?;
                 if !empty.is_empty() {
                     let event = Event {
@@ -248,6 +238,7 @@
                 return Err(broken(&text));
             }
             self.pos = id;
+            (self.was_partial, self.empty_ends) = (false, 0);
             if self.version.is_none() {
                 self.begin_version(&attempt.software);
             }
@@ -364,7 +355,7 @@
     }
 
     /// Why an attempt ended early: batch work was preempted, or the server failed.
-    fn lost(&self, text: &str, is_ended: bool) -> Abort {
+    pub(super) fn lost(&self, text: &str, is_ended: bool) -> Abort {
         if is_ended && self.work.class == Class::Batch {
             return Abort::Preempted;
         }
