Do not take the end of a server at its deadline for the end of a stream

Where the answer has neither a length nor chunks, that end looked like the end of the stream: 200 and 3 of 8 events.

Change: an end within 100 ms of the deadline cuts the answer. Not covered: a host that stood still meanwhile, whose steady clock did not count that time.

--- a/src/route/ending.rs
+++ b/src/route/ending.rs
@@ -4,7 +4,14 @@
     attempt::Abort,
     dispatch::{Run, Sink},
 };
-use crate::gate::Slot;
+use crate::{
+    error::{Fail, Kind},
+    gate::Slot,
+};
+use std::time::Duration;
+
+/// Time before the deadline in which an end is taken for that of a server that stopped there.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(100);
 
 impl<S: Sink> Run<'_, S> {
     /// Fails if the stream is not whole whose connection the server ended between two events, `has_events` of
@@ -16,6 +23,10 @@
     ) -> Result<(), Abort> {
         let (id, server, last) = (&*slot.id, &*slot.server, self.pos);
         tracing::info!(id, server, last, has_events, "unframed_stream_ended");
+        if self.host.now() + DEADLINE_MARGIN >= self.work.deadline {
+            let text = "the backend server ended the answer at its deadline";
+            return Err(Abort::Final(Fail::new(Kind::ExpiredRunning, text)));
+        }
         if has_events {
             return Ok(());
         }
