Record streams as they begin, and the versions that services had

- A request was recorded for each server that it was sent to.

Change: a stream is recorded once, when its first event has arrived and before that is passed on; from then on it is bound to that version anyway. The wait is 80 ms at most, as it holds the event back. A host that sees a second version records the streams that it began lately, so that none without a record need be taken for older. The log has the version of each service that was the only one for long; a host that starts takes the version that it sees for the only one only if it is the same. With one version the log is not read unless it is long out of date.

--- a/src/resume/begun.rs
+++ b/src/resume/begun.rs
@@ -14,32 +14,44 @@
     streams: VecDeque<Stream>,
 }
 
-#[derive(Debug, Clone)]
-struct Stream {
-    id: Name,
-    service: Name,
-    version: Name,
-    at: Time,
+/// A stream whose first event was passed on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Stream {
+    /// Id of the request that it answers.
+    pub id: Name,
+    /// Service of its server.
+    pub service: Name,
+    /// Software version of its server.
+    pub version: Name,
+    /// When its first event was passed on.
+    pub at: Time,
 }
 
 impl Begun {
-    /// Records that the stream `id` began at a server of `service` with this software version.
-    pub fn note(&mut self, id: &Name, service: &Name, version: &Name, now: Time) {
-        let is_old = |s: &Stream| now.saturating_sub(s.at) >= RESUME_MAX;
+    /// Adds a stream that began now.
+    pub fn note(&mut self, stream: Stream) {
+        let is_old = |s: &Stream| !is_recent(s, stream.at);
         while self.streams.len() >= BEGUN_MAX || self.streams.front().is_some_and(is_old) {
             self.streams.pop_front();
         }
-        self.streams.push_back(Stream {
-            id: id.clone(),
-            service: service.clone(),
-            version: version.clone(),
-            at: now,
-        });
+        self.streams.push_back(stream);
     }
 
-    /// Service and version of the stream `id`.
-    pub fn find(&self, id: &str) -> Option<(Name, Name)> {
-        let stream = self.streams.iter().rev().find(|s| *s.id == *id)?;
-        Some((stream.service.clone(), stream.version.clone()))
+    /// The stream `id`.
+    pub fn find(&self, id: &str) -> Option<&Stream> {
+        self.streams.iter().rev().find(|s| *s.id == *id)
     }
+
+    /// The streams of `service` that may still be resumed.
+    pub fn of_service(&self, service: &str, now: Time) -> Vec<Stream> {
+        let streams = self.streams.iter();
+        streams
+            .filter(|s| *s.service == *service && is_recent(s, now))
+            .cloned()
+            .collect()
+    }
+}
+
+fn is_recent(stream: &Stream, now: Time) -> bool {
+    now.saturating_sub(stream.at) < RESUME_MAX
 }
--- a/src/resume/decide.rs
+++ b/src/resume/decide.rs
@@ -27,29 +27,17 @@
 
 /// The version at which a stream without a record began.
 ///
-/// Streams are recorded while several versions are in use, so one without a record began when there was
-/// only one, or could not be recorded.
+/// Streams are recorded while several versions are in use, and those that run when a second one comes. One
+/// without a record began when there was one version, or could not be recorded.
 pub fn decide(evidence: &Evidence) -> Origin {
-    let Evidence {
-        usage,
-        is_read,
-        is_cut_off,
-        was_mixed,
-    } = evidence;
-    if *is_cut_off {
+    let usage = &evidence.usage;
+    if evidence.is_cut_off {
         return Origin::Unknown("this host is cut off from the log and the other hosts");
     }
-    let Some(sole) = usage.sole() else {
-        return match (&usage.base, is_read) {
-            (Some(base), true) if usage.is_covered => Origin::Version(base.clone()),
-            (_, false) => Origin::Unknown("the records of streams cannot be read"),
-            _ => Origin::Unknown("several software versions are in use"),
-        };
-    };
-    match (usage.is_covered, is_read, was_mixed) {
-        (true, ..) => Origin::Version(sole.clone()),
-        (false, false, _) => Origin::Unknown("the records of streams cannot be read"),
-        (false, true, true) => Origin::Unknown("several software versions were in use"),
-        (false, true, false) => Origin::Version(sole.clone()),
+    match usage.sole() {
+        Some(sole) if usage.is_covered && !evidence.was_mixed => Origin::Version(sole.clone()),
+        _ if !evidence.is_read => Origin::Unknown("the records of streams cannot be read"),
+        Some(_) => Origin::Unknown("another software version was in use"),
+        None => Origin::Unknown("several software versions are in use"),
     }
 }
--- a/src/resume/mod.rs
+++ b/src/resume/mod.rs
@@ -3,10 +3,11 @@
 //! What backend servers of two software versions write does not fit together, and the servers do not check it. A
 //! stream that lost its server goes on within its answer only at servers of the same version, as `route`
 //! sees to. A caller may also resume a stream that was cut, at any host. So while several versions of a
-//! service are in use, the version of each new stream is recorded in the log before the stream is sent
-//! to a server, and every host finds it there, also after the loss of all hosts.
+//! service are in use, the version of each new stream is recorded in the log before its caller gets the
+//! first event, and every host finds it there, also after the loss of all hosts.
 //!
-//! While only one version is in use nothing is recorded: a stream without a record has that version.
+//! While only one version is in use, the log has that version, but no streams: a stream without a record has
+//! that version. When a second one comes, each host records the streams that it began lately.
 
 mod begun;
 mod decide;
@@ -14,10 +15,10 @@
 mod resolve;
 mod versions;
 
-pub use begun::Begun;
+pub use begun::{Begun, Stream};
 pub use decide::{Evidence, Origin, decide};
 pub use origins::{Origins, Record, Recorded};
-pub use versions::{BASE_MAX, RESUME_MAX, Usage, Versions};
+pub use versions::{RESUME_MAX, Usage, Versions};
 
 use crate::clock::Time;
 use std::sync::{Mutex, MutexGuard};
--- a/src/resume/origins.rs
+++ b/src/resume/origins.rs
@@ -24,12 +24,14 @@
     pub at: Pos,
 }
 
-/// When a host last saw several versions of a service.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct Mix {
-    service: Name,
-    /// Milliseconds since 1970.
-    unix_ms: u64,
+/// Versions of a service that hosts saw.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Service {
+    name: Name,
+    /// The last one that was the only one for long; empty for none.
+    sole: Name,
+    /// When a host last saw several, in milliseconds since 1970; zero for never.
+    mixed_ms: u64,
 }
 
 /// The recorded streams at a position of the log.
@@ -37,18 +39,19 @@
 pub struct Origins {
     /// Sorted by id.
     streams: Vec<Recorded>,
-    /// Sorted by service.
-    mixes: Vec<Mix>,
+    /// Sorted by name.
+    services: Vec<Service>,
 }
 
 /// A record of the stream `origins`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
-    /// Id of the request that is about to be sent; empty if a host only saw several versions.
+    /// Id of the request that the stream answers; empty for a mark, which tells only of the versions of a
+    /// service.
     pub id: Name,
     /// Service of the server.
     pub service: Name,
-    /// Software version of the server; empty without a request.
+    /// Software version of the server; that of all servers in a mark without `is_mixed`.
     pub version: Name,
     /// Whether the host sees several versions of the service; one that just started may see only the last.
     pub is_mixed: bool,
@@ -65,26 +68,37 @@
 
     /// When a host last saw several versions of `service`, in milliseconds since 1970.
     pub fn last_mixed(&self, service: &str) -> Option<u64> {
-        let found = self
-            .mixes
-            .binary_search_by(|l| (*l.service).cmp(service))
-            .ok()?;
-        Some(self.mixes[found].unix_ms)
+        let at = self.find(service).ok()?;
+        Some(self.services[at].mixed_ms).filter(|ms| *ms > 0)
     }
 
-    fn note_mixed(&mut self, rec: &Record) {
-        match self.mixes.binary_search_by(|l| l.service.cmp(&rec.service)) {
-            Ok(at) => {
-                let mix = &mut self.mixes[at];
-                mix.unix_ms = mix.unix_ms.max(rec.unix_ms);
-            }
+    /// The version of `service` that was last the only one for long.
+    pub fn last_sole(&self, service: &str) -> Option<&Name> {
+        let at = self.find(service).ok()?;
+        Some(&self.services[at].sole).filter(|v| !v.is_empty())
+    }
+
+    fn find(&self, service: &str) -> Result<usize, usize> {
+        self.services.binary_search_by(|s| (*s.name).cmp(service))
+    }
+
+    fn note_service(&mut self, rec: &Record) {
+        let at = match self.find(&rec.service) {
+            Ok(at) => at,
             Err(at) => {
-                let mix = Mix {
-                    service: rec.service.clone(),
-                    unix_ms: rec.unix_ms,
+                let service = Service {
+                    name: rec.service.clone(),
+                    ..Service::default()
                 };
-                self.mixes.insert(at, mix);
+                self.services.insert(at, service);
+                at
             }
+        };
+        let service = &mut self.services[at];
+        if rec.is_mixed {
+            service.mixed_ms = service.mixed_ms.max(rec.unix_ms);
+        } else if rec.id.is_empty() {
+            service.sole = rec.version.clone();
         }
     }
 
@@ -104,9 +118,7 @@
     const READ_PAUSE: Duration = Duration::from_millis(500);
 
     fn apply(&mut self, at: Pos, rec: &Record) {
-        if rec.is_mixed {
-            self.note_mixed(rec);
-        }
+        self.note_service(rec);
         if rec.id.is_empty() {
             return;
         }
@@ -117,7 +129,8 @@
             at,
         };
         match self.streams.binary_search_by(|s| s.id.cmp(&rec.id)) {
-            Ok(i) => self.streams[i] = stream,
+            // A stream begins once.
+            Ok(_) => {}
             Err(i) => self.streams.insert(i, stream),
         }
         if self.streams.len() > STREAMS_MAX {
--- a/src/resume/resolve.rs
+++ b/src/resume/resolve.rs
@@ -1,6 +1,6 @@
 //! Records where streams begin, and finds out where they may go on.
 
-use super::{Evidence, Origin, RESUME_MAX, Record, Usage, decide};
+use super::{Evidence, Origin, RESUME_MAX, Record, Stream, Usage, decide};
 use crate::{
     clock::{Clock, Time},
     config::Server,
@@ -14,8 +14,8 @@
 
 /// Interval of the checks of the versions in use against the log.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
-/// Longest wait for a record before the stream is sent.
-const RECORD_WAIT: Duration = Duration::from_millis(150);
+/// Longest wait for a record, for which the first event of a stream is held back.
+const RECORD_WAIT: Duration = Duration::from_millis(80);
 /// Time in which the log is read again for a stream whose version is not known: its record may be on its
 /// way.
 const READS_TIME: Duration = Duration::from_millis(250);
@@ -24,6 +24,12 @@
 /// Time after a wait in vain in which streams do not wait for their records.
 const RECORD_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time after the last sign of several versions in which streams are recorded: longer than they are refused
+/// without a record, as hosts see the signs at different times.
+const RECORD_MAX: Duration = RESUME_MAX.saturating_add(Duration::from_secs(5));
+/// Age of the last read of the log up to which the follower would know of another version.
+const FRESH_TIME: Duration = Duration::from_secs(4);
+
 inventory::submit! {
     Plugin {
         name: "resume",
@@ -45,8 +51,12 @@
         }
     }
 
-    /// Has the log tell that `service` has several versions.
+    /// Has the log tell that `service` has several versions, and which streams of it this host began lately.
     fn submit_mark(&self, service: &Name) -> Ticket {
+        let begun = self.resume.begun().of_service(service, self.now());
+        for stream in begun {
+            self.submit_stream(stream, true);
+        }
         self.origins.submit(&Record {
             id: Name::default(),
             service: service.clone(),
@@ -56,41 +66,51 @@
         })
     }
 
-    /// Records that the stream `id` is about to be sent to a server of `service` with the software
-    /// `version`, if callers could otherwise resume it at another version.
-    ///
-    /// Waits for the record for a short time only: a stream without it goes on all the same, and is not
+    /// Notes that the stream `id` begins at a server of `service` with the software `version`, before its
+    /// caller gets the first event. Has the log record it, if the caller could otherwise resume it at another
+    /// version, and waits for that a short time: a stream without a record goes on all the same, and is not
     /// resumed by other hosts.
-    pub fn record_origin(&self, id: &Name, service: &Name, version: &Name) {
-        let usage = self.usage(service);
-        if usage.sole().is_some() && usage.is_covered {
-            return;
-        }
-        let ticket = self.origins.submit(&Record {
+    pub fn begin_stream(&self, id: &Name, service: &Name, version: &Name) {
+        let stream = Stream {
             id: id.clone(),
             service: service.clone(),
             version: version.clone(),
-            is_mixed: usage.versions.len() > 1,
-            unix_ms: self.unix_ms(),
-        });
-        let now = self.now();
-        let is_recent = |t: Time| now.saturating_sub(t) < RECORD_PAUSE;
-        if self.resume.unrecorded().is_some_and(is_recent) {
+            at: self.now(),
+        };
+        self.resume.begun().note(stream.clone());
+        let usage = self.usage(service);
+        let is_sole = usage.sole().is_some() && usage.is_covered;
+        if is_sole && !self.was_mixed(service, RECORD_MAX) {
+            return;
+        }
+        let ticket = self.submit_stream(stream, usage.is_mixed);
+        if self.is_unrecorded() {
             return;
         }
         let outcome = ticket.wait(RECORD_WAIT);
-        let is_recorded = matches!(outcome, AppendOutcome::Taken(_));
-        if !is_recorded {
+        let is_taken = matches!(outcome, AppendOutcome::Taken(_));
+        *self.resume.unrecorded() = (!is_taken).then(|| self.now());
+        if !is_taken {
             let (id, service, version) = (&**id, &**service, &**version);
             tracing::info!(id, service, version, ?outcome, "stream_not_recorded");
         }
-        *self.resume.unrecorded() = (!is_recorded).then(|| self.now());
     }
 
-    /// Records that the first event of the stream `id` was passed on.
-    pub fn note_begun(&self, id: &Name, service: &Name, version: &Name) {
+    fn submit_stream(&self, stream: Stream, is_mixed: bool) -> Ticket {
+        self.origins.submit(&Record {
+            id: stream.id,
+            service: stream.service,
+            version: stream.version,
+            is_mixed,
+            unix_ms: self.unix_ms(),
+        })
+    }
+
+    /// Whether the log took a record too late a short time ago.
+    fn is_unrecorded(&self) -> bool {
         let now = self.now();
-        self.resume.begun().note(id, service, version, now);
+        let is_recent = |t: Time| now.saturating_sub(t) < RECORD_PAUSE;
+        self.resume.unrecorded().is_some_and(is_recent)
     }
 
     /// Service and software version at which the stream `id` goes on that the request `asked_by` resumes;
@@ -100,14 +120,17 @@
     /// `NotReady` if the version cannot be told.
     pub fn origin_of(&self, asked_by: &str, id: &str, service: &Name) -> Res<(Name, Name)> {
         let began = self.now();
-        let found = self.resume.begun().find(id);
-        if let Some((service, version)) = found {
-            note_resumed(asked_by, id, &version, "begun here", Duration::ZERO);
-            return Ok((service, version));
+        if let Some(stream) = self.resume.begun().find(id).cloned() {
+            note_resumed(asked_by, id, &stream.version, "begun here", Duration::ZERO);
+            return Ok((stream.service, stream.version));
         }
+        let mut must_read = !self.knows_log(service);
         loop {
             let asked = self.now();
-            self.origins.read_now();
+            if must_read {
+                self.origins.read_now();
+            }
+            must_read = true;
             let age = self.now().saturating_sub(began);
             if let Some(found) = self.origins.view(|o| o.stream(id).cloned()) {
                 note_resumed(asked_by, id, &found.version, "recorded", age);
@@ -137,33 +160,57 @@
         }
     }
 
+    /// Whether a stream of `service` needs no read of the log: it has one version, and the follower would
+    /// know of another, or the log is away.
+    fn knows_log(&self, service: &str) -> bool {
+        let usage = self.usage(service);
+        let fresh = self.origins.progress().caught_up;
+        let is_fresh = fresh.is_some_and(|f| self.now().saturating_sub(f) < FRESH_TIME);
+        usage.sole().is_some()
+            && usage.is_covered
+            && !self.was_mixed(service, RESUME_MAX)
+            && (is_fresh || self.relay.is_lost())
+    }
+
     fn evidence(&self, service: &Name, since: Time) -> Evidence {
         let caught_up = self.origins.progress().caught_up;
         Evidence {
             usage: self.usage(service),
             is_read: caught_up.is_some_and(|at| at >= since),
             is_cut_off: self.relay.is_cut_off(self),
-            was_mixed: self.was_mixed(service),
+            was_mixed: self.was_mixed(service, RESUME_MAX),
         }
     }
 
     /// The versions of `service` in use, by what this host saw or by the log.
     fn usage(&self, service: &str) -> Usage {
         let mut usage = self.resume.versions().usage(service, self.now());
-        usage.is_covered |= self.is_sole_in_log(service);
+        let is_sole = usage
+            .sole()
+            .is_some_and(|v| self.is_sole_in_log(service, v));
+        usage.is_covered |= is_sole;
         usage
     }
 
-    /// Whether the log tells that streams of `service` that may still be resumed have one version.
-    fn is_sole_in_log(&self, service: &str) -> bool {
-        self.origins.progress().caught_up.is_some() && !self.was_mixed(service)
+    /// Whether the log tells that streams of `service` that may still be resumed have this version.
+    fn is_sole_in_log(&self, service: &str, version: &str) -> bool {
+        let last = self.origins.view(|o| o.last_sole(service).cloned());
+        self.origins.progress().caught_up.is_some()
+            && !self.was_mixed(service, RESUME_MAX)
+            && last.is_none_or(|l| *l == *version)
+    }
+
+    /// Whether the log has this version as the last that was the only one.
+    fn is_sole_known(&self, service: &str, version: &str) -> bool {
+        self.origins
+            .view(|o| o.last_sole(service).is_some_and(|l| **l == *version))
     }
 
-    /// Whether a host saw several versions of `service` while streams began that may still be resumed.
-    fn was_mixed(&self, service: &str) -> bool {
+    /// Whether a host saw several versions of `service` within `span`.
+    fn was_mixed(&self, service: &str, span: Duration) -> bool {
         let last = self.origins.view(|o| o.last_mixed(service));
         let age = last.map(|l| self.unix_ms().saturating_sub(l));
-        age.is_some_and(|a| u128::from(a) < RESUME_MAX.as_millis())
+        age.is_some_and(|a| u128::from(a) < span.as_millis())
     }
 
     fn unix_ms(&self) -> u64 {
@@ -175,8 +222,8 @@
     tracing::info!(id, resumes, version, source, ?age, "stream_resumed");
 }
 
-/// Tells the log of services with several versions, and has a service count as seen for long whose
-/// streams the log does not tell of.
+/// Tells the log of services with several versions, and of the version of the others; has a service count
+/// as seen for long if the log tells of no other version.
 fn check_versions(host: &Arc<Host>) {
     let unmarked = host.resume.versions().unmarked();
     for service in unmarked {
@@ -188,5 +235,20 @@
     if host.origins.progress().caught_up.is_none() {
         host.origins.read_now();
     }
-    host.resume.versions().confirm(|s| host.is_sole_in_log(s));
+    host.resume
+        .versions()
+        .confirm(|service, version| host.is_sole_in_log(service, version));
+    let soles = host.resume.versions().soles(host.now());
+    for (service, version) in soles {
+        if host.origins.progress().caught_up.is_some() && !host.is_sole_known(&service, &version) {
+            let mark = Record {
+                id: Name::default(),
+                service,
+                version,
+                is_mixed: false,
+                unix_ms: host.unix_ms(),
+            };
+            host.origins.submit(&mark).wait(RECORD_WAIT);
+        }
+    }
 }
--- a/src/resume/versions.rs
+++ b/src/resume/versions.rs
@@ -6,10 +6,6 @@
 /// Longest time after the start of a stream in which its caller may resume it.
 pub const RESUME_MAX: Duration = Duration::from_secs(15);
 
-/// Time after the arrival of a second version in which streams without a record are taken for older than
-/// it. Most streams are over by then, and one whose record the log lost must not be joined.
-pub const BASE_MAX: Duration = Duration::from_secs(5);
-
 /// The versions of all services.
 #[derive(Debug, Clone, Default)]
 pub struct Versions {
@@ -24,11 +20,7 @@
     since: Time,
     /// Sorted by version.
     seen: Vec<Seen>,
-    /// The only version until others came.
-    base: Option<Name>,
-    /// When a second version was first seen beside `base`.
-    mixed: Option<Time>,
-    /// Whether the log tells of the present mix.
+    /// Whether the log tells that there are several versions.
     is_marked: bool,
     /// Whether the log showed that there was no other version before.
     is_confirmed: bool,
@@ -48,10 +40,10 @@
 pub struct Usage {
     /// The versions, sorted.
     pub versions: Vec<Name>,
+    /// Whether servers have several of them now.
+    pub is_mixed: bool,
     /// Whether the host knows of all versions of that time.
     pub is_covered: bool,
-    /// Version of the streams that began before there were several and that may still be resumed.
-    pub base: Option<Name>,
 }
 
 impl Usage {
@@ -87,19 +79,22 @@
 
     /// The versions of the service `name` as of `now`.
     pub fn usage(&self, name: &str, now: Time) -> Usage {
-        let Ok(at) = self.services.binary_search_by(|s| (*s.name).cmp(name)) else {
-            return Usage::default();
-        };
-        let service = &self.services[at];
-        let is_within = |t: Time, span| now.saturating_sub(t) < span;
-        let is_base_valid = service.mixed.is_none_or(|t| is_within(t, BASE_MAX));
-        Usage {
-            versions: service.seen.iter().map(|s| s.version.clone()).collect(),
-            is_covered: service.is_confirmed || !is_within(service.since, RESUME_MAX),
-            base: service.base.clone().filter(|_| is_base_valid),
+        match self.find(name) {
+            Ok(at) => self.services[at].usage(now),
+            Err(_) => Usage::default(),
         }
     }
 
+    /// The services with one version of which the host knows that there was no other lately.
+    pub fn soles(&self, now: Time) -> Vec<(Name, Name)> {
+        let sole = |s: &Service| {
+            let usage = s.usage(now);
+            let version = usage.sole().filter(|_| usage.is_covered)?;
+            Some((s.name.clone(), version.clone()))
+        };
+        self.services.iter().filter_map(sole).collect()
+    }
+
     /// Services with several versions of which the log does not tell yet.
     pub fn unmarked(&self) -> Vec<Name> {
         let unmarked = self
@@ -111,31 +106,33 @@
 
     /// Records that the log tells of the several versions of the service `name`.
     pub fn mark(&mut self, name: &str) {
-        if let Ok(at) = self.services.binary_search_by(|s| (*s.name).cmp(name)) {
+        if let Ok(at) = self.find(name) {
             self.services[at].is_marked = true;
         }
     }
 
-    /// Has services with one version count as seen for long if `test` tells that there was no other.
-    pub fn confirm(&mut self, test: impl Fn(&str) -> bool) {
-        let sole = self
-            .services
-            .iter_mut()
-            .filter(|s| s.seen.len() == 1 && !s.is_confirmed);
-        sole.filter(|s| test(&s.name))
-            .for_each(|s| s.is_confirmed = true);
+    /// Has services with one version count as seen for long if `test` tells by name and version that there
+    /// was no other.
+    pub fn confirm(&mut self, test: impl Fn(&str, &str) -> bool) {
+        for service in self.services.iter_mut().filter(|s| !s.is_confirmed) {
+            if let [only] = &*service.seen {
+                service.is_confirmed = test(&service.name, &only.version);
+            }
+        }
+    }
+
+    fn find(&self, name: &str) -> Result<usize, usize> {
+        self.services.binary_search_by(|s| (*s.name).cmp(name))
     }
 
     fn service(&mut self, name: &Name, now: Time) -> &mut Service {
-        let at = match self.services.binary_search_by(|s| s.name.cmp(name)) {
+        let at = match self.find(name) {
             Ok(at) => at,
             Err(at) => {
                 let service = Service {
                     name: name.clone(),
                     since: now,
                     seen: Vec::new(),
-                    base: None,
-                    mixed: None,
                     is_marked: false,
                     is_confirmed: false,
                 };
@@ -148,6 +145,14 @@
 }
 
 impl Service {
+    fn usage(&self, now: Time) -> Usage {
+        Usage {
+            versions: self.seen.iter().map(|s| s.version.clone()).collect(),
+            is_mixed: self.seen.iter().filter(|s| s.is_present).count() > 1,
+            is_covered: self.is_confirmed || now.saturating_sub(self.since) >= RESUME_MAX,
+        }
+    }
+
     /// Records that a server has `version`; returns whether it is a new one.
     fn see(&mut self, version: &Name, now: Time) -> bool {
         match self.seen.binary_search_by(|s| s.version.cmp(version)) {
@@ -169,7 +174,7 @@
         }
     }
 
-    /// Drops versions that no stream to be resumed can have, and decides whether there are several.
+    /// Drops versions that no stream to be resumed can have.
     fn settle(&mut self, now: Time) {
         self.seen.retain(|s| {
             let is_kept = now.saturating_sub(s.last) < RESUME_MAX;
@@ -178,12 +183,6 @@
             }
             is_kept
         });
-        if let [only] = &*self.seen {
-            self.base = Some(only.version.clone());
-            self.mixed = None;
-            self.is_marked = false;
-        } else {
-            self.mixed.get_or_insert(now);
-        }
+        self.is_marked &= self.seen.len() > 1;
     }
 }
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -10,7 +10,7 @@
     error::{Fail, Kind, Res},
     gate::{Slot, cancel_at},
     timeline::Happening,
-    wire::{Answer, Class, Name, Software},
+    wire::{Answer, Class, Name},
 };
 use std::net::SocketAddr;
 
@@ -59,9 +59,6 @@
             let text = "the backend server has another software version than the stream";
             return Err(Abort::Failed(Fail::new(Kind::Unreachable, text)));
         }
-        if self.work.software == Software::Start && self.version.is_none() {
-            host.record_origin(&self.work.id, &self.work.model, &server.software);
-        }
         if let Err(fail) = self.permit_segments() {
             return Err(Abort::Final(self.final_fail(fail)));
         }
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -263,12 +263,12 @@
             .map_err(Abort::Final)
     }
 
-    /// Binds the stream to the software `version` of its first event.
+    /// Binds the stream to the software `version` of its first event, which the caller does not have yet.
     fn begin_version(&mut self, version: &Name) {
         self.version = Some(version.clone());
         if self.work.software == Software::Start {
             self.host
-                .note_begun(&self.work.id, &self.work.model, version);
+                .begin_stream(&self.work.id, &self.work.model, version);
         }
     }
 
