Let requests that resume streams wait longer for a token and a slot

Cause: such a request was refused like a new one after a quarter of the objective without a token and four fifths of it without a slot, so that another host could still meet the objective. It is past for a stream that was cut, and what the caller has is lost without the rest.

Evidence: resumed_waits_for_slot_longer_than_new_request failed before (503) and passes now.

Change: it waits for 0.5 s and 1.5 s; callers disconnect after 2 s of silence.

--- a/src/pass/forward.rs
+++ b/src/pass/forward.rs
@@ -21,6 +21,10 @@
 /// still be served in time when its caller retries.
 const TOKEN_WAIT_SHARE: f64 = 0.25;
 const TOKEN_WAIT_MAX: Duration = Duration::from_millis(250);
+/// Longest wait of a request that resumes a stream for a rate token, and for a slot. Its objective is past, and
+/// what its caller has is of no use without the rest; callers disconnect after 2 s of silence.
+const RESUMED_TOKEN_WAIT: Duration = Duration::from_millis(500);
+const RESUMED_SLOT_WAIT: Duration = Duration::from_millis(1500);
 /// Longest wait for a slot on a route without an objective.
 const SLOT_WAIT_DEFAULT: Duration = Duration::from_secs(1);
 
@@ -114,13 +118,15 @@
     };
     let limits = &host.limits;
     let permit = match access.caller.as_ref().filter(|c| limited(c)) {
-        Some(caller) => match limits.reserve_within(host, &caller.workspace, token_wait(access)) {
-            Ok(permit) => Some(permit),
-            Err(fail) => {
-                note_refusal(host, &id, &fail);
-                return super::send_error(exchange, &fail);
+        Some(caller) => {
+            match limits.reserve_within(host, &caller.workspace, token_wait(access, &arrival)) {
+                Ok(permit) => Some(permit),
+                Err(fail) => {
+                    note_refusal(host, &id, &fail);
+                    return super::send_error(exchange, &fail);
+                }
             }
-        },
+        }
         None => None,
     };
     let resumed = match resume(host, access, &arrival) {
@@ -155,10 +161,10 @@
 /// Service and software version at which the stream goes on that a request resumes; `None` for a request
 /// that resumes none.
 fn resume(host: &Host, access: &Access, arrival: &Arrival) -> Res<Option<(Name, Name)>> {
-    let (route, request) = (&access.route, &arrival.request);
-    if route.kind != PassKind::Stream || request.after == 0 {
+    if !is_resumption(access, arrival) {
         return Ok(None);
     }
+    let (route, request) = (&access.route, &arrival.request);
     let first = arrival.resumes.as_ref().unwrap_or(&request.id);
     let origin = host.origin_of(&request.id, first, &route.target(first))?;
     if !route.targets.iter().any(|t| t.service == origin.0) {
@@ -171,7 +177,14 @@
     Ok(Some(origin))
 }
 
-fn token_wait(access: &Access) -> Duration {
+fn is_resumption(access: &Access, arrival: &Arrival) -> bool {
+    access.route.kind == PassKind::Stream && arrival.request.after > 0
+}
+
+fn token_wait(access: &Access, arrival: &Arrival) -> Duration {
+    if is_resumption(access, arrival) {
+        return RESUMED_TOKEN_WAIT;
+    }
     match access.route.aim.is_zero() {
         true => TOKEN_WAIT_MAX,
         false => access
@@ -186,6 +199,7 @@
     let route = &access.route;
     let limit = arrival.limit.unwrap_or(route.timeout).min(route.timeout);
     let wait = match route.aim.is_zero() {
+        _ if is_resumption(access, &arrival) => RESUMED_SLOT_WAIT,
         true => SLOT_WAIT_DEFAULT,
         false => route.aim.mul_f64(SLOT_WAIT_SHARE),
     };
