--- a/src/error/table.rs
+++ b/src/error/table.rs
@@ -109,7 +109,7 @@
             Kind::KeyWithdrawn => row(401, "key_withdrawn", Ran::Yes, None),
             Kind::Preempted => row(503, "preempted", Ran::Yes, SOON),
             Kind::Quarantined => row(422, "quarantined", Ran::No, None),
-            Kind::VersionGone => row(503, "version_gone", Ran::No, None),
+            Kind::VersionGone => row(422, "version_gone", Ran::No, None),
             Kind::Cancelled => row(409, "cancelled", Ran::Unknown, None),
             Kind::OutcomeUnknown => row(502, "outcome_unknown", Ran::Unknown, None),
             Kind::Internal => row(500, "internal", Ran::Unknown, None),
