--- a/src/resume/resolve.rs
+++ b/src/resume/resolve.rs
@@ -23,7 +23,6 @@
 const READ_PAUSE: Duration = Duration::from_millis(100);
 /// Time after a wait in vain in which streams do not wait for their records.
 const RECORD_PAUSE: Duration = Duration::from_secs(1);
-
 /// Time after the last sign of several versions in which streams are recorded: longer than they are refused
 /// without a record, as hosts see the signs at different times.
 const RECORD_MAX: Duration = RESUME_MAX.saturating_add(Duration::from_secs(5));
