--- a/src/pass/forward.rs
+++ b/src/pass/forward.rs
@@ -23,7 +23,7 @@
 const TOKEN_WAIT_MAX: Duration = Duration::from_millis(250);
 /// Longest wait of a request that resumes a stream for a rate token, and for a slot. Its objective is past, and
 /// what its caller has is of no use without the rest; callers disconnect after 2 s of silence.
-const RESUMED_TOKEN_WAIT: Duration = Duration::from_millis(500);
+const RESUMED_TOKEN_WAIT: Duration = Duration::from_millis(1200);
 const RESUMED_SLOT_WAIT: Duration = Duration::from_millis(1500);
 /// Longest wait for a slot on a route without an objective.
 const SLOT_WAIT_DEFAULT: Duration = Duration::from_secs(1);
