Log the limits that servers state in their answers

What operators saw: nothing tells that a host heard a server name a limit, so that a limit that is not read cannot be told from one that is counted by each host alone. The dialect reads the field, a host keeps the latest statement of each server (route::ServerLimits) and writes LimitStated when it changes; a value that is no number is logged with the attempt and changes nothing. No decision uses it yet.

--- a/src/pass/mod.rs
+++ b/src/pass/mod.rs
@@ -88,6 +88,19 @@
     Foreign,
 }
 
+/// What an answer says about the rate of requests that its server takes from all hosts together.
+#[derive(Debug, Clone, PartialEq)]
+pub enum LimitStatement {
+    /// Nothing: the answer is not the server's own.
+    Absent,
+    /// The server takes any number of requests.
+    Unlimited,
+    /// The server takes this many requests per second: a finite number, zero or greater.
+    PerSecond(f64),
+    /// The value cannot be used.
+    Invalid(String),
+}
+
 /// The servers' protocol: the header fields of attempts and answers.
 #[derive(Debug, Clone, Copy)]
 pub struct Dialect {
@@ -97,6 +110,8 @@
     pub read: fn(&Head, &str) -> Verdict,
     /// Whether the head of an answer says that the server is leaving.
     pub leaves: fn(&Head) -> bool,
+    /// The limit on requests that the head of an answer states.
+    pub limit: fn(&Head) -> LimitStatement,
     /// Ids of the prompt segments that a request names and that other requests may share.
     pub segments: fn(&Request) -> Vec<Name>,
 }
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -125,6 +125,14 @@
         if verdict != Verdict::Foreign && (dialect.leaves)(&head) {
             host.note_leaving(&slot.server, attempt.start, &slot.id);
         }
+        if verdict != Verdict::Foreign {
+            host.note_limit(
+                &slot.server,
+                attempt.start,
+                &(dialect.limit)(&head),
+                &slot.id,
+            );
+        }
         match verdict {
             Verdict::Ours => {}
             Verdict::NotRun => {
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -4,6 +4,7 @@
     choose::{Candidate, fan_out, order, subset},
     health::{Availability, Health, Outcome},
     leaving::Departures,
+    limits::ServerLimits,
 };
 use crate::{
     clock::Time,
@@ -35,6 +36,8 @@
     budget: Mutex<Budget>,
     /// Servers that announced that they are leaving.
     pub departures: Departures,
+    /// Limits that servers stated on the requests that they take.
+    pub limits: ServerLimits,
     /// Number of requests and batch items on this host that wait in queues for a slot.
     pub waiting: AtomicUsize,
 }
@@ -69,6 +72,7 @@
             by_model: Mutex::default(),
             budget: Mutex::new(Budget::new(percent)),
             departures: Departures::default(),
+            limits: ServerLimits::default(),
             waiting: AtomicUsize::new(0),
         }
     }
@@ -213,8 +217,10 @@
             chosen.is_refreshing = true;
         }
         drop(known);
-        host.config
-            .view(|s| self.departures.prune(&s.servers, host.now()));
+        host.config.view(|s| {
+            self.departures.prune(&s.servers, host.now());
+            self.limits.prune(&s.servers);
+        });
         let chosen = choose_servers(host, model);
         let servers = chosen.servers.clone();
         let mut known = self.by_model.lock().expect("chosen servers");
--- a/src/timeline/mod.rs
+++ b/src/timeline/mod.rs
@@ -87,6 +87,8 @@
     ShareMoved,
     /// The log failed, or works again.
     LogState,
+    /// A server stated another limit on the requests that it takes, or none any more.
+    LimitStated,
 }
 
 /// One event.
