--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -1,6 +1,6 @@
 //! Messages between the host that holds slots and the host that grants them.
 
-use super::queue::{Counts, SlotRequest, Verdict};
+use super::slot::{Counts, SlotRequest, Verdict};
 use crate::{
     kernel::Call,
     share::Tag,
--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -1,21 +1,19 @@
 //! Grants slots: the admission queues of the servers whose gate runs on this host.
 
 use super::{
-    call::{Acquire, Admission, HeldSlot, ReleasedSlot, Yield},
-    queue::{Counts, Effects, Queue, SlotRequest, Verdict},
+    call::{Acquire, Admission, HeldSlot, ReleasedSlot},
+    cancel::Preempted,
+    queue::Queue,
+    slot::{Counts, Effects, SlotRequest, Verdict},
 };
 use crate::{
-    clock::{Clock, Time},
+    clock::Time,
     config::Server,
-    engine::{Cancelled, Target},
-    http::Timeouts,
     kernel::Host,
-    timeline::Happening,
     wire::{Class, Name, Peer},
 };
 use std::{
     sync::{Arc, Condvar, Mutex, MutexGuard},
-    thread,
     time::Duration,
 };
 
@@ -23,22 +21,14 @@
 pub const WAIT_MAX: Duration = Duration::from_millis(500);
 /// Longest time between two checks of a waiting call for whether the server is leaving.
 const LEAVING_CHECK: Duration = Duration::from_millis(500);
-/// Timeout of one cancel call.
-const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
-/// Longest wait for a preempted attempt to appear before the task returns.
-const CANCEL_IDLE_MAX: Duration = Duration::from_secs(1);
-/// Longest pause before a cancel that found no attempt is sent again.
-const CANCEL_RETRY_MAX: Duration = Duration::from_millis(100);
-/// First pause before such a cancel is sent again; it doubles each time.
-const CANCEL_RETRY_MIN: Duration = Duration::from_millis(2);
 
 /// The gates that run on one host.
 #[derive(Debug, Default)]
 pub struct Queues {
     /// Sorted by server.
     gates: Mutex<Vec<Arc<Gate>>>,
-    cancels: Mutex<Vec<Preempted>>,
-    preempted: Condvar,
+    pub(super) cancels: Mutex<Vec<Preempted>>,
+    pub(super) preempted: Condvar,
     /// Servers and hosts for which the gates were last created.
     placement: Mutex<Placement>,
 }
@@ -52,14 +42,14 @@
 
 /// The gate of one server.
 #[derive(Debug)]
-struct Gate {
-    server: Name,
+pub(super) struct Gate {
+    pub(super) server: Name,
     inner: Mutex<Inner>,
 }
 
 #[derive(Debug)]
-struct Inner {
-    queue: Queue,
+pub(super) struct Inner {
+    pub(super) queue: Queue,
     /// Calls on this host that wait for a slot.
     waiters: Vec<Waiter>,
 }
@@ -70,14 +60,8 @@
     wake: Arc<Condvar>,
 }
 
-#[derive(Debug)]
-struct Preempted {
-    gate: Arc<Gate>,
-    id: Name,
-}
-
 impl Gate {
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().expect("gate")
     }
 }
@@ -267,47 +251,8 @@
         all.iter().map(counts).collect()
     }
 
-    /// Cancels preempted batch attempts, each in its own thread.
-    pub(super) fn cancel_evicted(&self, host: &Arc<Host>) {
-        let queue = self.cancels.lock().expect("cancels");
-        let (mut queue, _) = self
-            .preempted
-            .wait_timeout_while(queue, CANCEL_IDLE_MAX, |q| q.is_empty())
-            .expect("cancels");
-        let batch = std::mem::take(&mut *queue);
-        drop(queue);
-        for Preempted { gate, id } in batch {
-            let host = host.clone();
-            thread::spawn(move || host.gates.queues.cancel(&host, &gate, &id));
-        }
-    }
-
-    /// Cancels an attempt at its server until the server ended it or the holder released the slot.
-    /// The first cancel may reach the server before the attempt does, and then finds nothing.
-    fn cancel(&self, host: &Host, gate: &Arc<Gate>, id: &Name) {
-        let server = &gate.server;
-        host.timeline.note(Happening::Preempted, id, None, server);
-        let mut pause = CANCEL_RETRY_MIN;
-        while gate.lock().queue.is_ending(id) && !host.is_dead() {
-            let Some(addr) = host.config.view(|s| s.server(server).map(|s| s.addr)) else {
-                return;
-            };
-            let is_ended = match host.dialect {
-                Some(_) => preempt_at_holder(host, gate, id),
-                None => cancel_at(host, addr, id),
-            };
-            if is_ended {
-                let mut inner = gate.lock();
-                let effects = inner.queue.confirm(host.now(), id);
-                return self.apply(gate, &inner, effects);
-            }
-            host.clock.sleep(pause);
-            pause = CANCEL_RETRY_MAX.min(pause * 2);
-        }
-    }
-
     /// Wakes the calls that got a slot and queues the preempted attempts for a cancel.
-    fn apply(&self, gate: &Arc<Gate>, inner: &Inner, effects: Effects) {
+    pub(super) fn apply(&self, gate: &Arc<Gate>, inner: &Inner, effects: Effects) {
         inner.wake(&effects.granted);
         if effects.preempted.is_empty() {
             return;
@@ -345,39 +290,6 @@
     }
 }
 
-/// Has the holder of a slot close its connection to the server, which makes the server end the
-/// attempt; `true` if the attempt was under way.
-fn preempt_at_holder(host: &Host, gate: &Gate, id: &Name) -> bool {
-    let Some(holder) = gate.lock().queue.holder(id) else {
-        return false;
-    };
-    if holder == host.me.name {
-        return host.passing.end(id);
-    }
-    let ring = host.members.ring();
-    let Some(peer) = ring.peer(&holder) else {
-        return false;
-    };
-    let call = Yield { id: id.clone() };
-    match host.call(peer.addr, &call, CANCEL_TIMEOUT) {
-        Ok(reply) => reply.found,
-        Err(fail) => {
-            tracing::info!(id = &**id, peer = &*holder, error = %fail, "yield_not_answered");
-            false
-        }
-    }
-}
-
-/// Cancels a generation at a server; `true` if the server confirms that it ended one.
-pub fn cancel_at(host: &Host, addr: std::net::SocketAddr, id: &Name) -> bool {
-    let url = format!("http://{addr}/v1/cancel");
-    let body = serde_json::to_vec(&Target { id: id.clone() }).unwrap_or_default();
-    let fields = [("content-type", "application/json")];
-    let limits = Timeouts::within(CANCEL_TIMEOUT);
-    let reply = host.client.call("POST", &url, &fields, &body, limits);
-    reply.is_ok_and(|r| serde_json::from_slice::<Cancelled>(&r.body).is_ok_and(|c| c.found))
-}
-
 pub(super) fn weight(host: &Host, request: &SlotRequest) -> u32 {
     host.config
         .view(|s| s.workspace(&request.workspace).map_or(1, |w| w.weight))
--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -1,10 +1,11 @@
 //! Holds slots: requests them from gates, renews them and releases them.
 
 use super::{
-    call::{Acquire, Admission, CountsReply, HeldSlot, Release, ReleasedSlot, Renew},
+    call::{Acquire, Admission, CountsReply, HeldSlot, Renew},
     gate_key,
     grant::weight,
-    queue::{Counts, SlotRequest, Verdict},
+    release::{PendingRelease, add},
+    slot::{Counts, SlotRequest, Verdict},
 };
 use crate::{
     clock::Time,
@@ -25,16 +26,13 @@
 /// Age at which a slot is renewed: a third of `SLOT_LEASE`, so that one or two lost messages lose
 /// no slot, and less than `SETTLE`, so that a new gate learns of it before granting batch work.
 const RENEW_AGE: Duration = Duration::from_secs(1);
-/// Longest wait for a slot to release before the task returns.
-const FLUSH_IDLE_MAX: Duration = Duration::from_secs(1);
-
 /// Slots that this host holds, and the releases still to be sent.
 #[derive(Debug, Default)]
 pub struct Held {
     /// Sorted by id.
-    slots: Mutex<Vec<GrantedSlot>>,
-    outbox: Mutex<Vec<PendingRelease>>,
-    queued: Condvar,
+    pub(super) slots: Mutex<Vec<GrantedSlot>>,
+    pub(super) outbox: Mutex<Vec<PendingRelease>>,
+    pub(super) queued: Condvar,
     /// Hosts that failed to answer within the last `DOWN_TIME`.
     down: Mutex<Vec<Down>>,
     /// Service of batch work by workspace.
@@ -43,10 +41,10 @@
 
 /// A slot that this host holds, with the host that granted it.
 #[derive(Debug, Clone)]
-struct GrantedSlot {
-    held: HeldSlot,
-    weight: u32,
-    gate: Peer,
+pub(super) struct GrantedSlot {
+    pub(super) held: HeldSlot,
+    pub(super) weight: u32,
+    pub(super) gate: Peer,
     /// Host that last acknowledged the slot, by a grant or a renewal, and when.
     acked: (Name, Time),
 }
@@ -58,13 +56,6 @@
     }
 }
 
-/// A release that is not sent yet.
-#[derive(Debug)]
-struct PendingRelease {
-    slot: ReleasedSlot,
-    gate: Option<Peer>,
-}
-
 #[derive(Debug)]
 struct Down {
     name: Name,
@@ -218,64 +209,11 @@
         }
     }
 
-    /// Queues the release of a slot or of a place in a queue.
-    pub fn release(&self, server: &Name, id: &Name, used: u32) {
-        let mut slots = self.slots.lock().expect("held slots");
-        let found = slots.binary_search_by(|s| s.held.request.id.cmp(id)).ok();
-        let found = found.filter(|at| slots[*at].held.server == *server);
-        let own = found.map(|at| slots.remove(at));
-        drop(slots);
-        let batch = own.as_ref();
-        if let Some(own) = batch.filter(|o| o.held.request.class == Class::Batch) {
-            let (workspace, cost) = (&own.held.request.workspace, own.held.request.cost);
-            self.shares().settle(workspace, own.weight, cost, used);
-        }
-        let gate = own.map(|o| o.gate);
-        let slot = ReleasedSlot {
-            server: server.clone(),
-            id: id.clone(),
-            used,
-        };
-        let release = PendingRelease { slot, gate };
-        self.outbox.lock().expect("outbox").push(release);
-        self.queued.notify_all();
-    }
-
     /// Number of slots that this host holds.
     pub fn count(&self) -> usize {
         self.slots.lock().expect("held slots").len()
     }
 
-    /// Sends the queued releases, one message for each gate.
-    pub(super) fn flush(&self, host: &Arc<Host>) {
-        let outbox = self.outbox.lock().expect("outbox");
-        let (mut outbox, _) = self
-            .queued
-            .wait_timeout_while(outbox, FLUSH_IDLE_MAX, |o| o.is_empty())
-            .expect("outbox");
-        let due = std::mem::take(&mut *outbox);
-        drop(outbox);
-        let mut batches = Vec::new();
-        for pending in due {
-            let owner = host.members.owner(&gate_key(&pending.slot.server));
-            if let Some(gate) = pending.gate.filter(|g| Some(g) != owner.as_ref()) {
-                add(&mut batches, gate, pending.slot.clone());
-            }
-            if let Some(owner) = owner {
-                add(&mut batches, owner, pending.slot);
-            }
-        }
-        for (peer, slots) in batches {
-            let servers: Vec<Name> = slots.iter().map(|d| d.server.clone()).collect();
-            let counts = if peer.name == host.me.name {
-                host.gates.queues.release(host, &slots)
-            } else {
-                self.send_to(host, &peer, &Release { slots })
-            };
-            host.routes.learn(host.now(), &servers, &counts);
-        }
-    }
-
     /// Renews the held slots, in one message for each gate that is due a renewal of any of them.
     pub(super) fn renew(&self, host: &Arc<Host>) {
         let slots = self.slots.lock().expect("held slots").clone();
@@ -316,7 +254,7 @@
     }
 
     /// Sends a message to a gate; returns no counts if the gate does not answer.
-    fn send_to<Q>(&self, host: &Host, peer: &Peer, call: &Q) -> Vec<Counts>
+    pub(super) fn send_to<Q>(&self, host: &Host, peer: &Peer, call: &Q) -> Vec<Counts>
     where
         Q: Call<Reply = CountsReply>,
     {
@@ -351,11 +289,3 @@
     }
     host.call(peer.addr, call, call.wait + CALL_TIMEOUT)
 }
-
-/// Adds an item to those that are sent to `peer`.
-fn add<T>(batches: &mut Vec<(Peer, Vec<T>)>, peer: Peer, item: T) {
-    match batches.iter_mut().find(|(p, _)| *p == peer) {
-        Some((_, items)) => items.push(item),
-        None => batches.push((peer, vec![item])),
-    }
-}
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -4,22 +4,25 @@
 //! slot talks to the server itself and renews the slot; slots of a lost holder expire.
 
 mod call;
+mod cancel;
 mod fleet;
 mod grant;
 mod hold;
 mod leave;
 mod queue;
+mod release;
+mod slot;
 
 pub use call::{
     Acquire, Admission, CountsReply, HeldSlot, Release, ReleasedSlot, Renew, ServerLeaving, Yield,
     Yielded,
 };
+pub use cancel::cancel_at;
 pub use fleet::{Served, Tags};
-pub use grant::{Queues, WAIT_MAX, cancel_at};
+pub use grant::{Queues, WAIT_MAX};
 pub use hold::{Held, Reply, Slot};
-pub use queue::{
-    Counts, Effects, QUEUE_MAX, Queue, SETTLE, SLOT_LEASE, SlotRequest, Verdict, WAIT_LEASE,
-};
+pub use queue::{QUEUE_MAX, Queue, SETTLE, SLOT_LEASE, WAIT_LEASE};
+pub use slot::{Counts, Effects, SlotRequest, Verdict};
 
 use crate::{
     http::Exchange,
