Refuse a request for want of a slot when its wait is over, not a round later

What callers saw: a request that gets no slot is to be refused after 0.8 of its route's objective (240 ms on the users' platform), while another host can still serve it in time. It was refused up to 130 ms later. Cause: the rounds between two looks at other servers double (10, 20, 40 ... 200 ms) and were cut at the deadline of the request only, not at that of its wait. Now a round ends with the wait. No test: it would measure wall-clock time.

--- a/src/route/acquire.rs
+++ b/src/route/acquire.rs
@@ -248,6 +248,14 @@
         self.sink.check().map_err(|fail| self.map_withdrawn(fail))
     }
 
+    /// Until when the work waits for a slot.
+    pub(super) fn wait_end(&self) -> Time {
+        match self.sent {
+            0 => self.work.deadline.min(self.work.slot_deadline),
+            _ => self.work.deadline,
+        }
+    }
+
     /// A key that is withdrawn before the work can have run counts as no key.
     fn map_withdrawn(&self, fail: Fail) -> Fail {
         if fail.kind == Kind::KeyWithdrawn && self.pos == 0 && self.earlier.is_none() {
--- a/src/route/wait.rs
+++ b/src/route/wait.rs
@@ -87,7 +87,7 @@
         let mut round = FIRST_ROUND;
         loop {
             self.check_wanted()?;
-            let left = self.work.deadline.saturating_sub(self.host.now());
+            let left = self.wait_end().saturating_sub(self.host.now());
             match places.grants.recv_timeout(round.min(left)) {
                 Ok(got) => return got.map(Some),
                 Err(RecvTimeoutError::Disconnected) => return Ok(None),
