Throttle backend servers to the limits that they state, at their gates

Cause: nobody read the field. More than that: no place decided over a rate of a server. Gates bound how many requests run at the same time, not how many begin; each host by itself was within the limit (9 to 16 requests), their sum was not. The class: a bound over the fleet that is known in part everywhere and decided nowhere.

Change: the gate of a server, which grants every slot, has a token bucket at the stated rate. The host that hears a limit tells the gate; a host does not ask a gate that it has not told. While another host may grant as well, a gate grants a quarter. A slot that was not used gives its token back. Online requests go to servers without a limit while these have room; batch work takes only tokens that would be lost.

--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -133,3 +133,40 @@
     type Reply = ();
     const PATH: &'static str = "/peer/gate/leaves";
 }
+
+/// Releases slots that were not used: nothing was sent to their servers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReleaseUnsent {
+    /// Slots to release, or requests to remove.
+    pub slots: Vec<ReleasedSlot>,
+}
+
+impl Call for ReleaseUnsent {
+    type Reply = CountsReply;
+    const PATH: &'static str = "/peer/gate/unsent";
+}
+
+/// What a server stated about the requests that it takes from all hosts together.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StatedLimit {
+    /// Backend server.
+    pub server: Name,
+    /// Start number of the server process.
+    pub start: u64,
+    /// Requests per second; `None` if it takes any number.
+    pub rate: Option<f64>,
+    /// Time since its last answer that said so.
+    pub age: Duration,
+}
+
+/// Tells the gates of servers what the servers stated.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitNotice {
+    /// One entry for each server.
+    pub limits: Vec<StatedLimit>,
+}
+
+impl Call for LimitNotice {
+    type Reply = ();
+    const PATH: &'static str = "/peer/gate/limits";
+}
--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -3,6 +3,9 @@
 use super::{
     call::{Acquire, Admission, HeldSlot, ReleasedSlot},
     cancel::Preempted,
+    gate_key,
+    hold::OWNERS,
+    limit::{self, Confirmation, Role},
     queue::Queue,
     slot::{Counts, Effects, SlotRequest, Verdict},
 };
@@ -49,9 +52,14 @@
 
 #[derive(Debug)]
 pub(super) struct Inner {
+    server: Name,
     pub(super) queue: Queue,
     /// Calls on this host that wait for a slot.
     waiters: Vec<Waiter>,
+    /// Since when this host has been in charge of the gate.
+    owned_since: Option<Time>,
+    /// Whether the limit that the server stated is still in force.
+    confirmation: Confirmation,
 }
 
 #[derive(Debug)]
@@ -67,6 +75,42 @@
 }
 
 impl Inner {
+    fn note_ownership(&mut self, is_owner: bool, now: Time) {
+        self.owned_since = is_owner.then(|| self.owned_since.unwrap_or(now));
+    }
+
+    /// Throttles the grants to `holder` and others by what the server stated.
+    fn follow_limit(&mut self, host: &Host, server: &Server, holder: &Name) {
+        let now = host.now();
+        let mut stated = host.routes.limits.rate(server);
+        if let Some((rate, at)) = stated
+            && !self.confirmation.holds(at, now)
+        {
+            host.routes.limits.forget(&server.name);
+            stated = None;
+            let age_ms = now.saturating_sub(at).as_millis() as u64;
+            tracing::info!(server = &*server.name, rate, age_ms, "server_limit_lapsed");
+        }
+        let rate = stated.map(|(rate, _)| self.role(host, holder, now).granted_rate(rate));
+        self.queue.set_rate(rate, now);
+    }
+
+    fn role(&self, host: &Host, holder: &Name, now: Time) -> Role {
+        let count = host.members.ring().peers().len();
+        if let Some(since) = self.owned_since {
+            return match now.saturating_sub(since) >= limit::handover(count) {
+                true => Role::Gate,
+                false => Role::Standby,
+            };
+        }
+        let owners = host.members.owners(&gate_key(&self.server), OWNERS);
+        let is_alone = *holder == host.me.name && owners.iter().all(|o| o.name != host.me.name);
+        match is_alone {
+            true => Role::Alone(count),
+            false => Role::Standby,
+        }
+    }
+
     fn wake(&self, granted: &[Name]) {
         for waiter in self.waiters.iter().filter(|w| granted.contains(&w.id)) {
             waiter.wake.notify_all();
@@ -83,10 +127,9 @@
 impl Queues {
     /// Answers a request for a slot, waiting up to `call.wait` or [`WAIT_MAX`] while none is free.
     pub(super) fn acquire(&self, host: &Host, call: &Acquire) -> Admission {
-        if !call.force
-            && let Some(owner) = host.members.owner(&super::gate_key(&call.server))
-            && owner.name != host.me.name
-        {
+        let owner = host.members.owner(&gate_key(&call.server));
+        let is_owner = owner.as_ref().is_none_or(|o| o.name == host.me.name);
+        if let Some(owner) = owner.filter(|_| !is_owner && !call.force) {
             return Admission::Moved(owner);
         }
         let Some(server) = accepting_server(host, &call.server) else {
@@ -108,6 +151,8 @@
         let may_wait = !call.wait.is_zero();
         let mut inner = gate.lock();
         inner.queue.resize(server.slots);
+        inner.note_ownership(is_owner, host.now());
+        inner.follow_limit(host, &server, &call.request.holder);
         if request.class == Class::Batch {
             inner.queue.note_served(&request.workspace, call.served);
         }
@@ -150,7 +195,11 @@
             if left.is_zero() || host.is_dead() {
                 break;
             }
-            let woken = wake.wait_timeout(inner, left.min(LEAVING_CHECK));
+            let mut pause = left.min(LEAVING_CHECK);
+            if let Some(delay) = inner.queue.throttle_delay(host.now()) {
+                pause = pause.min(delay);
+            }
+            let woken = wake.wait_timeout(inner, pause);
             inner = woken.expect("gate").0;
             let effects;
             (answer, effects) = if accepting_server(host, &call.server).is_some() {
@@ -166,15 +215,29 @@
         answer.map(|verdict| (inner, verdict))
     }
 
-    /// Frees slots or removes waiting requests; returns the servers' counts.
-    pub(super) fn release(&self, host: &Host, slots: &[ReleasedSlot]) -> Vec<Counts> {
+    /// Frees slots or removes waiting requests; returns the servers' counts. `is_sent` tells whether
+    /// the attempts may have been sent.
+    pub(super) fn release(
+        &self,
+        host: &Host,
+        slots: &[ReleasedSlot],
+        is_sent: bool,
+    ) -> Vec<Counts> {
         let counts = slots.iter().map(|slot| {
             let Some(gate) = self.find(&slot.server) else {
                 return Counts::default();
             };
             let mut inner = gate.lock();
             inner.queue.withdraw(&slot.id);
-            let effects = inner.queue.release(host.now(), &slot.id, slot.used);
+            let effects = match is_sent {
+                true => {
+                    if inner.queue.holder(&slot.id).is_some() {
+                        inner.confirmation.note_ended();
+                    }
+                    inner.queue.release(host.now(), &slot.id, slot.used)
+                }
+                false => inner.queue.release_unsent(host.now(), &slot.id),
+            };
             self.apply(&gate, &inner, effects);
             inner.queue.counts()
         });
@@ -213,7 +276,7 @@
             return;
         }
         let mine = |server: &str| {
-            let owner = host.members.owner(&super::gate_key(server));
+            let owner = host.members.owner(&gate_key(server));
             owner.is_some_and(|o| o.name == host.me.name)
         };
         for server in current.servers.iter().filter(|s| mine(s)) {
@@ -279,8 +342,11 @@
                 let gate = Arc::new(Gate {
                     server: server.name.clone(),
                     inner: Mutex::new(Inner {
+                        server: server.name.clone(),
                         queue: Queue::new(server.slots, now),
                         waiters: Vec::new(),
+                        owned_since: None,
+                        confirmation: Confirmation::default(),
                     }),
                 });
                 gates.insert(at, gate.clone());
--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -4,7 +4,8 @@
     call::{Acquire, Admission, CountsReply, HeldSlot, Renew},
     gate_key,
     grant::weight,
-    release::{PendingRelease, add},
+    limit,
+    release::{Outbox, add},
     slot::{Counts, SlotRequest, Verdict},
 };
 use crate::{
@@ -21,6 +22,8 @@
 
 /// Timeout of a call to a gate, on top of the wait that the call itself asks for.
 pub(super) const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Hosts that are asked for a slot of a server: the one in charge of its gate, and the one that stands in.
+pub(super) const OWNERS: usize = 2;
 /// Time for which a host that failed to answer is skipped.
 const DOWN_TIME: Duration = Duration::from_secs(1);
 /// Age at which a slot is renewed: a third of `SLOT_LEASE`, so that one or two lost messages lose
@@ -31,7 +34,7 @@
 pub struct Held {
     /// Sorted by id.
     pub(super) slots: Mutex<Vec<GrantedSlot>>,
-    pub(super) outbox: Mutex<Vec<PendingRelease>>,
+    pub(super) outbox: Mutex<Outbox>,
     pub(super) queued: Condvar,
     /// Hosts that failed to answer within the last `DOWN_TIME`.
     down: Mutex<Vec<Down>>,
@@ -72,12 +75,17 @@
     pub id: Name,
     /// Tokens used so far.
     pub used: u32,
+    /// Whether the attempt may have been sent.
+    pub is_sent: bool,
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
         let held = &self.host.gates.held;
-        held.release(&self.server, &self.id, self.used);
+        match self.is_sent {
+            true => held.release(&self.server, &self.id, self.used),
+            false => held.release_unsent(&self.server, &self.id),
+        }
     }
 }
 
@@ -106,7 +114,7 @@
         request: &SlotRequest,
         wait: Duration,
     ) -> Res<Reply> {
-        let owners = host.members.owners(&gate_key(server), 2);
+        let owners = host.members.owners(&gate_key(server), OWNERS);
         let mut call = Acquire {
             server: server.clone(),
             request: request.clone(),
@@ -125,7 +133,7 @@
                 }
             }
             // The gate may have granted a slot although its answer was lost.
-            self.release(server, &request.id, 0);
+            self.release_unsent(server, &request.id);
         }
         // A host that reaches no gate grants slots itself; the server refuses any excess.
         call.force = true;
@@ -206,6 +214,7 @@
             server: call.server.clone(),
             id: request.id.clone(),
             used: 0,
+            is_sent: false,
         }
     }
 
@@ -287,5 +296,6 @@
     if peer.name == host.me.name {
         return Ok(host.gates.queues.acquire(host, call));
     }
+    limit::tell(host, peer, &call.server)?;
     host.call(peer.addr, call, call.wait + CALL_TIMEOUT)
 }
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -9,20 +9,24 @@
 mod grant;
 mod hold;
 mod leave;
+mod limit;
 mod queue;
 mod release;
 mod slot;
+mod throttle;
 
 pub use call::{
-    Acquire, Admission, CountsReply, HeldSlot, Release, ReleasedSlot, Renew, ServerLeaving, Yield,
-    Yielded,
+    Acquire, Admission, CountsReply, HeldSlot, LimitNotice, Release, ReleaseUnsent, ReleasedSlot,
+    Renew, ServerLeaving, StatedLimit, Yield, Yielded,
 };
 pub use cancel::cancel_at;
 pub use fleet::{Served, Tags};
 pub use grant::{Queues, WAIT_MAX};
 pub use hold::{Held, Reply, Slot};
+pub use limit::{Confirmation, PROBE_RATE, Role, SHARED_PART};
 pub use queue::{QUEUE_MAX, Queue, SETTLE, SLOT_LEASE, WAIT_LEASE};
 pub use slot::{Counts, Effects, SlotRequest, Verdict};
+pub use throttle::Throttle;
 
 use crate::{
     http::Exchange,
@@ -41,10 +45,12 @@
         routes: &[
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/acquire", handle: acquire },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/release", handle: release },
+            Route { port: Port::Peer, method: "POST", path: "/peer/gate/unsent", handle: release_unsent },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/renew", handle: renew },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/served", handle: served },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/yield", handle: end_attempt },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/leaves", handle: server_leaving },
+            Route { port: Port::Peer, method: "POST", path: "/peer/gate/limits", handle: limits },
         ],
         tasks: &[
             Task { name: "gate-renew", every: RENEW_EVERY, run: |h| h.gates.held.renew(h), waits: true, on: On::All },
@@ -87,7 +93,14 @@
 
 fn release(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
     serve_call(host, exchange, |host, call: Release| {
-        let counts = host.gates.queues.release(host, &call.slots);
+        let counts = host.gates.queues.release(host, &call.slots, true);
+        Ok(CountsReply { counts })
+    })
+}
+
+fn release_unsent(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
+    serve_call(host, exchange, |host, call: ReleaseUnsent| {
+        let counts = host.gates.queues.release(host, &call.slots, false);
         Ok(CountsReply { counts })
     })
 }
@@ -118,3 +131,10 @@
         Ok(())
     })
 }
+
+fn limits(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
+    serve_call(host, exchange, |host, call: LimitNotice| {
+        limit::receive(host, &call);
+        Ok(())
+    })
+}
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -1,6 +1,9 @@
 //! Admission queue of one backend server: slots held, requests waiting, and preemption.
 
-use super::slot::{Counts, Effects, SlotRequest, Verdict};
+use super::{
+    slot::{Counts, Effects, SlotRequest, Verdict},
+    throttle::Throttle,
+};
 use crate::{
     clock::Time,
     share::{FairQueue, QueueTags, Tag},
@@ -32,6 +35,8 @@
     online: FairQueue,
     batch: QueueTags,
     sequence: u64,
+    /// Limits the grants, if the server limits the requests that it takes.
+    throttle: Option<Throttle>,
 }
 
 #[derive(Debug, Clone)]
@@ -44,6 +49,8 @@
     preempted: bool,
     /// The server ended the attempt; its holder has yet to report the tokens used.
     ended: bool,
+    /// Whether the throttle was charged for it.
+    is_charged: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -72,6 +79,7 @@
             online: FairQueue::default(),
             batch: QueueTags::default(),
             sequence: 0,
+            throttle: None,
         }
     }
 
@@ -80,6 +88,24 @@
         self.slots = slots.max(1);
     }
 
+    /// Grants at most `rate` slots per second from `now` on; any number with `None`.
+    pub fn set_rate(&mut self, rate: Option<f64>, now: Time) {
+        match (&mut self.throttle, rate) {
+            (Some(throttle), Some(rate)) => throttle.set_rate(rate, now),
+            (throttle, rate) => *throttle = rate.map(|rate| Throttle::new(rate, now)),
+        }
+    }
+
+    /// Time until the throttle lets the next waiting request pass; `None` if it holds none back.
+    pub fn throttle_delay(&self, now: Time) -> Option<Duration> {
+        let next = &self.waiting[self.next()?].request;
+        let delay = self
+            .throttle
+            .as_ref()?
+            .delay(now, next.class == Class::Batch);
+        Some(delay).filter(|d| !d.is_zero())
+    }
+
     /// Requests a slot, or repeats a waiting request. The call is idempotent by the id of the
     /// attempt, so that a lost answer loses no slot.
     pub fn request(
@@ -140,9 +166,15 @@
 
     /// Releases a slot after `used` tokens.
     pub fn release(&mut self, now: Time, id: &str, used: u32) -> Effects {
-        if let Ok(at) = self.find(id) {
-            let gone = self.held.remove(at);
-            self.settle(&gone.request, gone.weight, used);
+        self.remove_held(id, used);
+        self.serve(now)
+    }
+
+    /// Releases a slot whose attempt was not sent to the server.
+    pub fn release_unsent(&mut self, now: Time, id: &str) -> Effects {
+        let is_charged = self.remove_held(id, 0).is_some_and(|h| h.is_charged);
+        if let Some(throttle) = self.throttle.as_mut().filter(|_| is_charged) {
+            throttle.refund();
         }
         self.serve(now)
     }
@@ -176,7 +208,8 @@
             Ok(at) => self.held[at].expires = now + SLOT_LEASE,
             Err(at) => {
                 self.withdraw(&request.id);
-                let held = self.new_held(now, request.clone(), weight);
+                let mut held = self.new_held(now, request.clone(), weight);
+                held.is_charged = false;
                 self.held.insert(at, held);
             }
         }
@@ -204,7 +237,7 @@
         let mut effects = Effects::default();
         while let Some(at) = self.next() {
             let class = self.waiting[at].request.class;
-            if !self.has_room(now, class) {
+            if !self.has_room(now, class) || !self.take_token(now, class) {
                 break;
             }
             let next = self.waiting.remove(at);
@@ -280,6 +313,18 @@
         }
     }
 
+    fn take_token(&mut self, now: Time, class: Class) -> bool {
+        let throttle = self.throttle.as_mut();
+        throttle.is_none_or(|t| t.take(now, class == Class::Batch))
+    }
+
+    fn remove_held(&mut self, id: &str, used: u32) -> Option<Held> {
+        let at = self.find(id).ok()?;
+        let gone = self.held.remove(at);
+        self.settle(&gone.request, gone.weight, used);
+        Some(gone)
+    }
+
     /// Preempts batch attempts until the rest fit the slots. Attempts of the youngest jobs go
     /// first, so that the jobs of a burst end one after the other instead of all late.
     fn preempt(&mut self, effects: &mut Effects) {
@@ -324,6 +369,7 @@
             expires: now + SLOT_LEASE,
             preempted: false,
             ended: false,
+            is_charged: true,
         }
     }
 
--- a/src/gate/release.rs
+++ b/src/gate/release.rs
@@ -1,9 +1,10 @@
 //! Releases slots and places in queues, in one message for each gate.
 
 use super::{
-    call::{Release, ReleasedSlot},
+    call::{Release, ReleaseUnsent, ReleasedSlot},
     gate_key,
     hold::Held,
+    limit,
 };
 use crate::{
     kernel::Host,
@@ -19,11 +20,35 @@
 pub(super) struct PendingRelease {
     slot: ReleasedSlot,
     gate: Option<Peer>,
+    is_sent: bool,
+}
+
+/// What gates are to be told.
+#[derive(Debug, Default)]
+pub(super) struct Outbox {
+    releases: Vec<PendingRelease>,
+    /// Servers that stated a limit.
+    pub(super) limits: Vec<Name>,
+}
+
+impl Outbox {
+    fn is_empty(&self) -> bool {
+        self.releases.is_empty() && self.limits.is_empty()
+    }
 }
 
 impl Held {
-    /// Queues the release of a slot or of a place in a queue.
+    /// Queues the release of a slot whose attempt used `used` tokens.
     pub fn release(&self, server: &Name, id: &Name, used: u32) {
+        self.queue_release(server, id, used, true);
+    }
+
+    /// Queues the release of a slot or of a place in a queue for an attempt that was not sent.
+    pub fn release_unsent(&self, server: &Name, id: &Name) {
+        self.queue_release(server, id, 0, false);
+    }
+
+    fn queue_release(&self, server: &Name, id: &Name, used: u32, is_sent: bool) {
         let mut slots = self.slots.lock().expect("held slots");
         let found = slots.binary_search_by(|s| s.held.request.id.cmp(id)).ok();
         let found = found.filter(|at| slots[*at].held.server == *server);
@@ -40,12 +65,18 @@
             id: id.clone(),
             used,
         };
-        let release = PendingRelease { slot, gate };
-        self.outbox.lock().expect("outbox").push(release);
+        let release = PendingRelease {
+            slot,
+            gate,
+            is_sent,
+        };
+        let mut outbox = self.outbox.lock().expect("outbox");
+        outbox.releases.push(release);
+        drop(outbox);
         self.queued.notify_all();
     }
 
-    /// Sends the queued releases, one message for each gate.
+    /// Sends the queued messages: limits first, then releases, in one message of each kind for each gate.
     pub(super) fn flush(&self, host: &Arc<Host>) {
         let outbox = self.outbox.lock().expect("outbox");
         let (mut outbox, _) = self
@@ -54,26 +85,46 @@
             .expect("outbox");
         let due = std::mem::take(&mut *outbox);
         drop(outbox);
-        let mut batches = Vec::new();
-        for pending in due {
+        limit::tell_gates(host, &due.limits);
+        let (mut sent, mut unsent) = (Vec::new(), Vec::new());
+        for pending in due.releases {
             let owner = host.members.owner(&gate_key(&pending.slot.server));
+            // A gate of an earlier build knows only the release of slots that were used.
+            let is_unsent = !pending.is_sent && is_limited(host, &pending.slot.server);
+            let batches = match is_unsent {
+                true => &mut unsent,
+                false => &mut sent,
+            };
             if let Some(gate) = pending.gate.filter(|g| Some(g) != owner.as_ref()) {
-                add(&mut batches, gate, pending.slot.clone());
+                add(batches, gate, pending.slot.clone());
             }
             if let Some(owner) = owner {
-                add(&mut batches, owner, pending.slot);
+                add(batches, owner, pending.slot);
             }
         }
-        for (peer, slots) in batches {
-            let servers: Vec<Name> = slots.iter().map(|d| d.server.clone()).collect();
-            let counts = if peer.name == host.me.name {
-                host.gates.queues.release(host, &slots)
-            } else {
-                self.send_to(host, &peer, &Release { slots })
-            };
-            host.routes.learn(host.now(), &servers, &counts);
+        for (peer, slots) in sent {
+            self.send_releases(host, &peer, slots, true);
+        }
+        for (peer, slots) in unsent {
+            self.send_releases(host, &peer, slots, false);
         }
     }
+
+    fn send_releases(&self, host: &Host, peer: &Peer, slots: Vec<ReleasedSlot>, is_sent: bool) {
+        let servers: Vec<Name> = slots.iter().map(|d| d.server.clone()).collect();
+        let counts = match is_sent {
+            _ if peer.name == host.me.name => host.gates.queues.release(host, &slots, is_sent),
+            true => self.send_to(host, peer, &Release { slots }),
+            false => self.send_to(host, peer, &ReleaseUnsent { slots }),
+        };
+        host.routes.learn(host.now(), &servers, &counts);
+    }
+}
+
+/// Whether the server may be throttled at its gate.
+fn is_limited(host: &Host, server: &Name) -> bool {
+    let limits = &host.routes.limits;
+    limits.stated(server, host.now()).is_some() || host.routes.throttled.has(server, host.now())
 }
 
 /// Adds an item to those that are sent to `peer`.
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -49,6 +49,7 @@
     quarantine: Family<SegmentLabel, Gauge>,
     batch: Counter,
     unrelayed: Counter,
+    throttled: Counter,
     first: Histogram,
     gap: Histogram,
     slot: Histogram,
@@ -87,6 +88,7 @@
             quarantine: Family::default(),
             batch: Counter::default(),
             unrelayed: Counter::default(),
+            throttled: Counter::default(),
             first: histogram(),
             gap: histogram(),
             slot: histogram(),
@@ -112,6 +114,8 @@
         to.register("batch_tokens", "Batch tokens generated", self.batch.clone());
         let help = "Calls to a lost log that no peer could relay";
         to.register("log_helpless", help, self.unrelayed.clone());
+        let help = "Requests and batch items that the limit of a server held back";
+        to.register("throttled", help, self.throttled.clone());
         for (name, help, metric) in [
             ("first_piece", "Arrival to the first piece", &self.first),
             (
@@ -180,6 +184,11 @@
         self.unrelayed.inc();
     }
 
+    /// Counts a request or a batch item that the limit of a server held back.
+    pub fn throttled(&self) {
+        self.throttled.inc();
+    }
+
     /// Number of calls to a lost log that no peer could relay, since the start.
     pub fn relay_failures(&self) -> u64 {
         self.unrelayed.get()
--- a/src/route/acquire.rs
+++ b/src/route/acquire.rs
@@ -67,6 +67,7 @@
             match self.ask_servers(&ask, &order) {
                 AskResult::Slot(slot) => return Ok(self.note_granted(slot, began)),
                 AskResult::Shortest(server) => {
+                    self.check_limits()?;
                     if let Some(slot) = self.wait_in_queue(&ask, &server)? {
                         return Ok(self.note_granted(slot, began));
                     }
@@ -152,13 +153,13 @@
 
     /// Asks each server in turn for a slot that is free now. Batch work skips servers whose recent
     /// counts show none.
-    pub(super) fn ask_servers(&self, ask: &SlotRequest, order: &[Name]) -> AskResult {
+    pub(super) fn ask_servers(&mut self, ask: &SlotRequest, order: &[Name]) -> AskResult {
         let mut shortest: Option<(f32, &Name)> = None;
         let queue = |c: Counts| (c.waiting + c.backlog) as f32 / c.slots as f32;
         for server in order {
             let full = match self.work.class {
                 Class::Online => None,
-                Class::Batch => self.host.routes.full_counts(self.host.now(), server),
+                Class::Batch => self.host.routes.busy_counts(self.host.now(), server),
             };
             if let Some(counts) = full {
                 let queue = queue(counts);
@@ -177,14 +178,15 @@
                     self.record_counts(server, counts);
                     return AskResult::Slot(slot);
                 }
-                Ok(Reply::Busy(counts) | Reply::Waiting(counts)) => {
-                    self.record_counts(server, counts);
+                Ok(Reply::Busy(counts)) => {
+                    self.record_denied(server, counts, false);
                     let queue = queue(counts);
                     if shortest.is_none_or(|(q, _)| queue < q) {
                         shortest = Some((queue, server));
                     }
                 }
-                Ok(Reply::Closed) | Err(_) => {}
+                // Without a wait, a request is not queued.
+                Ok(Reply::Waiting(_) | Reply::Closed) | Err(_) => {}
             }
         }
         shortest.map_or(AskResult::None, |(_, s)| AskResult::Shortest(s.clone()))
@@ -208,7 +210,7 @@
         };
         host.routes.waiting.fetch_sub(1, Ordering::Relaxed);
         if !matches!(result, Ok(Some(_))) {
-            host.gates.held.release(server, &ask.id, 0);
+            host.gates.held.release_unsent(server, &ask.id);
         }
         result
     }
@@ -225,7 +227,7 @@
                     self.check_wanted()?;
                     return Ok(Some(slot));
                 }
-                Ok(Reply::Waiting(counts)) => self.record_counts(server, counts),
+                Ok(Reply::Waiting(counts)) => self.record_denied(server, counts, true),
                 Ok(Reply::Busy(_)) => return Err(queue_full()),
                 Ok(Reply::Closed) | Err(_) => return Ok(None),
             }
@@ -268,6 +270,30 @@
         let servers = std::slice::from_ref(server);
         self.host.routes.learn(self.host.now(), servers, &[counts]);
     }
+
+    fn record_denied(&mut self, server: &Name, counts: Counts, is_queued: bool) {
+        let class = self.work.class;
+        let routes = &self.host.routes;
+        let is_throttled = routes.note_denied(self.host, server, class, counts, is_queued);
+        if is_throttled && !self.was_throttled {
+            self.was_throttled = true;
+            let (id, waiting) = (&*self.work.id, counts.waiting);
+            tracing::info!(id, server = &**server, waiting, "request_throttled");
+            self.host.meters.throttled();
+        }
+    }
+
+    /// Fails if every server that can run the work states a limit that holds it back until it is too late.
+    pub(super) fn check_limits(&self) -> Res<()> {
+        let (now, routes) = (self.host.now(), &self.host.routes);
+        let earliest = routes.earliest_slot(self.host, self.work, self.version.as_ref(), now);
+        if self.work.class == Class::Batch || earliest <= now.max(self.wait_end()) {
+            return Ok(());
+        }
+        let text = "every backend server that can run the request is at the limit that it states";
+        let fail = Fail::new(Kind::Overloaded, text);
+        Err(fail.retry_after(earliest.saturating_sub(now)))
+    }
 }
 
 /// Error of a request that the full queue of a server refused.
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -76,6 +76,7 @@
         host.timeline
             .note(Happening::Sent, &slot.id, None, &slot.server);
         let from = self.pos;
+        slot.is_sent = true;
         let result = match &self.work.request {
             Some(request) => self.forward(&slot, &mut attempt, request),
             None => self.stream(&slot, &mut attempt),
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -28,9 +28,29 @@
     pub load: f32,
     /// Free slots minus waiting work of both classes, negative if more waits; all slots if unknown.
     pub spare: i32,
+    /// Whether the server limits the requests that it takes.
+    pub is_limited: bool,
     /// Whether the server may get work.
     pub availability: Availability,
 }
+/// Load up to which online requests prefer servers that do not limit the requests that they take.
+const UNLIMITED_LOAD: f32 = 0.75;
+
+impl Candidate {
+    /// The server with or without a limit; one that is throttled has no slot to give.
+    pub(super) fn with_limit(self, is_limited: bool, is_throttled: bool) -> Self {
+        let (load, spare) = match is_throttled {
+            true => (self.load.max(1.0), self.spare.min(0)),
+            false => (self.load, self.spare),
+        };
+        Self {
+            load,
+            spare,
+            is_limited,
+            ..self
+        }
+    }
+}
 
 /// Number of servers to ask for a slot before the work waits for one.
 ///
@@ -64,14 +84,14 @@
     }
     match class {
         Class::Online => {
-            let mean = usable.iter().map(|c| c.load).sum::<f32>() / usable.len().max(1) as f32;
-            let affine = prefix.and_then(|p| usable.iter().max_by_key(|c| rendezvous(p, &c.name)));
-            let affine = affine.filter(|c| c.load <= mean + AFFINITY_SLACK && c.load < 1.0);
-            chosen.extend(affine);
-            usable.retain(|c| !chosen.contains(c));
-            take_best_of_two(&mut usable, &mut chosen, most, rng, |c| {
-                c.load + if c.is_near { 0.0 } else { FAR_LOAD }
-            });
+            // A limit is better spent on long work while others have room for online requests.
+            let has_limited = usable.iter().any(|c| c.is_limited);
+            let (roomy, rest) = usable
+                .into_iter()
+                .partition(|c| !has_limited || (!c.is_limited && c.load < UNLIMITED_LOAD));
+            for tier in [roomy, rest] {
+                take_online(tier, prefix, &mut chosen, most, rng);
+            }
         }
         Class::Batch => {
             usable.retain(|c| !chosen.contains(c));
@@ -82,6 +102,25 @@
     chosen.iter().map(|c| c.name.clone()).collect()
 }
 
+/// Adds servers for online requests until there are `most`: the one that is likely to have the prefix, then
+/// the least loaded.
+fn take_online<'a, R: Rng>(
+    mut usable: Vec<&'a Candidate>,
+    prefix: Option<u64>,
+    chosen: &mut Vec<&'a Candidate>,
+    most: usize,
+    rng: &mut R,
+) {
+    let mean = usable.iter().map(|c| c.load).sum::<f32>() / usable.len().max(1) as f32;
+    let affine = prefix.and_then(|p| usable.iter().max_by_key(|c| rendezvous(p, &c.name)));
+    let affine = affine.filter(|c| c.load <= mean + AFFINITY_SLACK && c.load < 1.0);
+    chosen.extend(affine);
+    usable.retain(|c| !chosen.contains(c));
+    take_best_of_two(&mut usable, chosen, most, rng, |c| {
+        c.load + if c.is_near { 0.0 } else { FAR_LOAD }
+    });
+}
+
 /// Moves up to `most` servers to `chosen`, each the better of two random ones (power of two choices).
 fn take_best_of_two<'a, R: Rng>(
     usable: &mut Vec<&'a Candidate>,
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -105,6 +105,8 @@
     pub(super) permit: Option<Permit>,
     /// Whether the last attempt lost its server before the answer began.
     pub(super) lost_early: bool,
+    /// Whether a server's limit held the work back.
+    pub(super) was_throttled: bool,
     /// Failed attempts that count against the retries.
     failures: u32,
     /// Position from which no server has run the work, and since when.
@@ -147,6 +149,7 @@
         segments: segments_of(host, work),
         permit: None,
         lost_early: false,
+        was_throttled: false,
         failures: 0,
         not_run: None,
         tried: Vec::new(),
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -11,11 +11,13 @@
 mod passing;
 mod silence;
 mod state;
+mod throttled;
 mod wait;
 
 pub use choose::{Candidate, SUBSET, fan_out, order, rendezvous, subset};
 pub use dispatch::{Sink, dispatch};
 pub use health::{Availability, EJECTION_FAILURES, EJECTION_MAX, EJECTION_MIN, Health, Outcome};
 pub use leaving::Departures;
-pub use limits::ServerLimits;
+pub use limits::{Noted, ServerLimits};
 pub use state::Routes;
+pub use throttled::Throttled;
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -5,6 +5,7 @@
     health::{Availability, Health, Outcome},
     leaving::Departures,
     limits::ServerLimits,
+    throttled::Throttled,
 };
 use crate::{
     clock::Time,
@@ -38,6 +39,8 @@
     pub departures: Departures,
     /// Limits that servers stated on the requests that they take.
     pub limits: ServerLimits,
+    /// Servers that lately took no request because of their limits.
+    pub throttled: Throttled,
     /// Number of requests and batch items on this host that wait in queues for a slot.
     pub waiting: AtomicUsize,
 }
@@ -73,6 +76,7 @@
             budget: Mutex::new(Budget::new(percent)),
             departures: Departures::default(),
             limits: ServerLimits::default(),
+            throttled: Throttled::default(),
             waiting: AtomicUsize::new(0),
         }
     }
@@ -102,14 +106,51 @@
         }
     }
 
-    /// The counts of `server` if they are recent and leave no slot free.
-    pub fn full_counts(&self, now: Time, server: &Name) -> Option<Counts> {
+    /// Records that the gate of `server` granted no slot, with its `counts` after that; `true` if the limit
+    /// that the server states is the reason. `is_queued` tells whether the counts include the request.
+    pub fn note_denied(
+        &self,
+        host: &Host,
+        server: &Name,
+        class: Class,
+        counts: Counts,
+        is_queued: bool,
+    ) -> bool {
+        let now = host.now();
+        self.learn(now, std::slice::from_ref(server), &[counts]);
+        let server = host.config.view(|s| s.server(server).cloned());
+        server.is_some_and(|server| {
+            self.throttled
+                .note(&self.limits, &server, class, counts, is_queued, now)
+        })
+    }
+
+    /// The counts of `server` if they are recent and leave no slot free, or if it is throttled.
+    pub fn busy_counts(&self, now: Time, server: &Name) -> Option<Counts> {
         let stats = self.lock();
         let at = stats.binary_search_by(|s| s.server.cmp(server)).ok()?;
         let (c, at) = (stats[at].counts, stats[at].counts_at);
         let is_fresh = at.is_some_and(|at| at + COUNTS_AGE > now);
         let is_full = c.online + c.batch + c.waiting + c.backlog >= c.slots;
-        (is_fresh && is_full).then_some(c)
+        let is_busy = is_full || self.throttled.has(server, now);
+        (is_fresh && is_busy).then_some(c)
+    }
+
+    /// When a server that can run `work` takes it at the earliest, by the limits that they state; now, unless
+    /// each of them was lately found to be at its limit.
+    pub fn earliest_slot(
+        &self,
+        host: &Host,
+        work: &Work,
+        version: Option<&Name>,
+        now: Time,
+    ) -> Time {
+        let servers = match version {
+            Some(version) => self.servers_with(host, &work.model, version),
+            None => self.servers_for(host, &work.model),
+        };
+        let usable = servers.iter().filter(|s| !self.departures.has(s));
+        self.throttled.earliest(usable.map(|s| &s.name), now)
     }
 
     /// Records the start of an attempt at `server`, which is the probe if one is due.
@@ -182,7 +223,12 @@
             .iter()
             .filter(|s| !has_untried || !tried.contains(&s.name))
             .filter(|s| !self.departures.has(s))
-            .map(|s| candidate(&stats, s, s.domain == host.me.domain, now))
+            .map(|s| {
+                let candidate = candidate(&stats, s, s.domain == host.me.domain, now);
+                let is_throttled = self.throttled.has(&s.name, now);
+                let is_limited = is_throttled || self.limits.rate(s).is_some();
+                candidate.with_limit(is_limited, is_throttled)
+            })
             .collect();
         drop(stats);
         // Work that may not be repeated must not be risked as a probe.
@@ -220,6 +266,7 @@
         host.config.view(|s| {
             self.departures.prune(&s.servers, host.now());
             self.limits.prune(&s.servers);
+            self.throttled.prune(&s.servers);
         });
         let chosen = choose_servers(host, model);
         let servers = chosen.servers.clone();
@@ -304,6 +351,7 @@
         is_near,
         load: 0.0,
         spare: spare(slots, Counts::default()),
+        is_limited: false,
         availability: Availability::Available,
     };
     let Ok(at) = stats.binary_search_by(|s| s.server.cmp(&server.name)) else {
--- a/src/route/wait.rs
+++ b/src/route/wait.rs
@@ -98,6 +98,7 @@
             {
                 return Ok(Some(slot));
             }
+            self.check_limits()?;
             round = ROUND_MAX.min(round * 2);
         }
     }
@@ -152,15 +153,14 @@
                 Ok(Reply::Busy(_)) => return drop(self.grants.send(Err(queue_full()))),
                 Ok(Reply::Closed) | Err(_) => return,
                 Ok(Reply::Waiting(counts)) => {
-                    let servers = std::slice::from_ref(&self.server);
-                    let now = self.host.now();
-                    self.host.routes.learn(now, servers, &[counts]);
+                    let (routes, class) = (&self.host.routes, self.ask.class);
+                    routes.note_denied(&self.host, &self.server, class, counts, true);
                 }
             }
             round = ROUND_MAX.min(round * 2);
         }
         let held = &self.host.gates.held;
-        held.release(&self.server, &self.ask.id, 0);
+        held.release_unsent(&self.server, &self.ask.id);
     }
 
     fn is_over(&self) -> bool {
--- a/standin/src/sample.rs
+++ b/standin/src/sample.rs
@@ -13,6 +13,7 @@
         is_near: i.is_multiple_of(12),
         load: (i % 7) as f32 / 7.0,
         spare: (i % 5) as i32,
+        is_limited: false,
         availability: Availability::Available,
     }
 }
--- a/tests/route_choose.rs
+++ b/tests/route_choose.rs
@@ -23,6 +23,7 @@
         is_near: true,
         load: 0.0,
         spare: 8,
+        is_limited: false,
         availability: Availability::Available,
     };
     (0..count).map(server).collect()
@@ -191,3 +192,29 @@
     assert!(health.is_slow(0.1));
     assert!(!health.is_slow(2.0));
 }
+
+#[test]
+fn order_online_prefers_servers_without_limit_while_they_have_room() {
+    let (mut all, mut rng) = (servers(12), rng());
+    for limited in &mut all[4..] {
+        limited.is_limited = true;
+    }
+    for _ in 0..50 {
+        let chosen = order(Class::Online, None, &all, 6, &mut rng);
+        let is_limited = |name: &Name| all.iter().any(|c| c.name == *name && c.is_limited);
+        assert_eq!(
+            chosen.iter().map(is_limited).collect::<Vec<_>>()[..4],
+            [false; 4]
+        );
+        assert_eq!(chosen.len(), 6);
+    }
+    for unlimited in &mut all[..4] {
+        unlimited.load = 1.0;
+    }
+    let mut limited_first = 0;
+    for _ in 0..50 {
+        let first = order(Class::Online, None, &all, 1, &mut rng)[0].clone();
+        limited_first += usize::from(all.iter().any(|c| c.name == first && c.is_limited));
+    }
+    assert!(limited_first > 25, "{limited_first}");
+}
