Do not take the version that a host sees for the only one before it read the log

Cause: a host that had seen one version for long resumed streams at it without a look at the log, if it had read the log within 4 s or had lost it. A host that is cut off takes up to 3 s to know, one that stood still never counts that time; in between it knows neither the version that joined nor that it is behind.

Change: each resumption at a host that did not begin the stream reads the log after its caller asked, for 150 ms at most. If the log cannot be read, up to eight other hosts are asked; one that knows the stream's version decides, else most of them must answer and must have seen the same only version. decide() has that as `is_confirmed`. The case of decide_only_version that took a version for the only one without a read was the fault; it now wants the word of the others, and refuses without.

--- a/src/resume/decide.rs
+++ b/src/resume/decide.rs
@@ -10,6 +10,8 @@
     pub usage: Usage,
     /// Whether the host has read all records that were in the log when the caller asked.
     pub is_read: bool,
+    /// Whether, since then, most of the other hosts that were asked told that they saw no other version.
+    pub is_confirmed: bool,
     /// Whether the host reaches neither the log nor other hosts, so that others may know newer versions.
     pub is_cut_off: bool,
     /// Whether the log tells that several versions of the service were lately in use.
@@ -34,8 +36,12 @@
     if evidence.is_cut_off {
         return Origin::Unknown("this host is cut off from the log and the other hosts");
     }
+    // A host that is out of step for moments does not know of the latest version.
+    let is_current = evidence.is_read || evidence.is_confirmed;
     match usage.sole() {
-        Some(sole) if usage.is_covered && !evidence.was_mixed => Origin::Version(sole.clone()),
+        Some(sole) if is_current && usage.is_covered && !evidence.was_mixed => {
+            Origin::Version(sole.clone())
+        }
         _ if !evidence.is_read => Origin::Unknown("the records of streams cannot be read"),
         Some(_) => Origin::Unknown("another software version was in use"),
         None => Origin::Unknown("several software versions are in use"),
--- a/src/resume/resolve.rs
+++ b/src/resume/resolve.rs
@@ -1,6 +1,8 @@
 //! Records where streams begin, and finds out where they may go on.
 
-use super::{Evidence, Origin, RESUME_MAX, Record, Stream, Usage, decide};
+use super::{
+    Evidence, Origin, RESUME_MAX, Record, Stream, Testimony, Usage, VersionsReply, decide, peers,
+};
 use crate::{
     clock::{Clock, Time},
     config::Server,
@@ -10,7 +12,11 @@
     pass::RETRY_ELSEWHERE,
     wire::Name,
 };
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, mpsc::channel},
+    thread,
+    time::Duration,
+};
 
 /// Interval of the checks of the versions in use against the log.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
@@ -19,6 +25,8 @@
 /// Time in which the log is read again for a stream whose version is not known: its record may be on its
 /// way.
 const READS_TIME: Duration = Duration::from_millis(250);
+/// Longest wait for one such read.
+const READ_WAIT: Duration = Duration::from_millis(150);
 /// Pause before the next read.
 const READ_PAUSE: Duration = Duration::from_millis(100);
 /// Time after a wait in vain in which streams do not wait for their records.
@@ -26,8 +34,6 @@
 /// Time after the last sign of several versions in which streams are recorded: longer than they are refused
 /// without a record, as hosts see the signs at different times.
 const RECORD_MAX: Duration = RESUME_MAX.saturating_add(Duration::from_secs(5));
-/// Age of the last read of the log up to which the follower would know of another version.
-const FRESH_TIME: Duration = Duration::from_secs(4);
 
 inventory::submit! {
     Plugin {
@@ -123,19 +129,25 @@
             note_resumed(asked_by, id, &stream.version, "begun here", Duration::ZERO);
             return Ok((stream.service, stream.version));
         }
-        let mut must_read = !self.knows_log(service);
         loop {
             let asked = self.now();
-            if must_read {
-                self.origins.read_now();
-            }
-            must_read = true;
+            self.read_records();
             let age = self.now().saturating_sub(began);
             if let Some(found) = self.origins.view(|o| o.stream(id).cloned()) {
                 note_resumed(asked_by, id, &found.version, "recorded", age);
                 return Ok((found.service, found.version));
             }
-            let evidence = self.evidence(service, asked);
+            let mut evidence = self.evidence(service, asked);
+            if !evidence.is_read && !evidence.is_cut_off {
+                match peers::ask(self, &id.into(), service, &evidence.usage) {
+                    Testimony::Began(version) => {
+                        note_resumed(asked_by, id, &version, "peer", age);
+                        return Ok((service.clone(), version));
+                    }
+                    Testimony::Agreed => evidence.is_confirmed = true,
+                    Testimony::Unsure => {}
+                }
+            }
             let cause = match decide(&evidence) {
                 Origin::Version(version) => {
                     note_resumed(asked_by, id, &version, "not recorded", age);
@@ -159,16 +171,32 @@
         }
     }
 
-    /// Whether a stream of `service` needs no read of the log: it has one version, and the follower would
-    /// know of another, or the log is away.
-    fn knows_log(&self, service: &str) -> bool {
+    /// Reads the records to the end of the log, for [`READ_WAIT`] at most: other hosts are asked if the log is
+    /// silent.
+    fn read_records(&self) {
+        let (sender, done) = channel();
+        let origins = self.origins.clone();
+        thread::spawn(move || {
+            origins.read_now();
+            // The request may have gone on without the read.
+            let _ = sender.send(());
+        });
+        let _ = done.recv_timeout(READ_WAIT);
+    }
+
+    /// What this host can tell another one about the stream `id` of `service`.
+    pub(super) fn known_versions(&self, id: &str, service: &str) -> VersionsReply {
+        let begun = self.resume.begun().find(id).map(|s| s.version.clone());
+        let recorded = || {
+            self.origins
+                .view(|o| o.stream(id).map(|s| s.version.clone()))
+        };
         let usage = self.usage(service);
-        let fresh = self.origins.progress().caught_up;
-        let is_fresh = fresh.is_some_and(|f| self.now().saturating_sub(f) < FRESH_TIME);
-        usage.sole().is_some()
-            && usage.is_covered
-            && !self.was_mixed(service, RESUME_MAX)
-            && (is_fresh || self.relay.is_lost())
+        let is_sole = usage.is_covered && !self.was_mixed(service, RESUME_MAX);
+        VersionsReply {
+            began: begun.or_else(recorded),
+            sole: usage.sole().filter(|_| is_sole).cloned(),
+        }
     }
 
     fn evidence(&self, service: &Name, since: Time) -> Evidence {
@@ -176,6 +204,7 @@
         Evidence {
             usage: self.usage(service),
             is_read: caught_up.is_some_and(|at| at >= since),
+            is_confirmed: false,
             is_cut_off: self.relay.is_cut_off(self),
             was_mixed: self.was_mixed(service, RESUME_MAX),
         }
--- a/tests/resume_decide.rs
+++ b/tests/resume_decide.rs
@@ -124,6 +124,7 @@
             is_covered: true,
         },
         is_read: true,
+        is_confirmed: false,
         is_cut_off: false,
         was_mixed: false,
     }
@@ -141,10 +142,15 @@
         is_read: false,
         ..known()
     };
-    assert_eq!(decide(&unread), v1);
+    assert!(is_unknown(&unread));
+    let confirmed = Evidence {
+        is_confirmed: true,
+        ..unread.clone()
+    };
+    assert_eq!(decide(&confirmed), v1);
     let cut_off = Evidence {
         is_cut_off: true,
-        ..unread
+        ..confirmed
     };
     assert!(is_unknown(&cut_off));
     let mixed = Evidence {
