Let nothing but events follow the beginning of a stream

Cause: an answer below 400 that is no event stream was passed on as a whole answer, head and all, also when the caller had the beginning of a stream. Errors of 400 and more were not: they end or repeat the attempt. Batch items were guarded already.

Change: once the caller has the beginning of a stream such an answer counts as broken, so that another server is tried or the answer is cut. And no second answer can be written to an exchange any more: send_with cuts it instead (the same cause elsewhere: any handler that fails late).

--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -128,12 +128,19 @@
     }
 
     /// Sends a whole answer with the header fields `fields`.
+    ///
+    /// # Errors
+    /// The connection failed, or another answer has begun, which is cut.
     pub fn send_with(
         &mut self,
         status: u16,
         fields: &[(&str, &str)],
         body: &[u8],
     ) -> io::Result<()> {
+        if self.is_begun() {
+            self.abort();
+            return Err(io::Error::other("another answer has begun"));
+        }
         let mut out = self.head(status, fields);
         out.extend_from_slice(format!("content-length: {}\r\n\r\n", body.len()).as_bytes());
         if self.request.head.method != "HEAD" {
--- a/src/pass/sink.rs
+++ b/src/pass/sink.rs
@@ -152,6 +152,10 @@
             .map_err(gone)
     }
 
+    fn is_begun(&self) -> bool {
+        self.exchange.is_begun()
+    }
+
     fn event(&mut self, event: &Event) -> Res<()> {
         self.note_time();
         self.exchange.write(&event.raw).map_err(gone)?;
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -38,6 +38,11 @@
         Ok(())
     }
 
+    /// Whether an event stream has begun, so that no other answer can be taken.
+    fn is_begun(&self) -> bool {
+        false
+    }
+
     /// Takes an event of an answer that is passed back unchanged.
     ///
     /// # Errors
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -151,7 +151,8 @@
         if head.status == 200 && is_stream {
             return self.read_events(slot, attempt, conn, &head, entry);
         }
-        if head.status < 400 && self.work.class == Class::Batch {
+        // The rest of a stream is events only.
+        if head.status < 400 && (self.work.class == Class::Batch || self.sink.is_begun()) {
             let text = format!("an answer with status {} has no events", head.status);
             return Err(broken(&text));
         }
