Have gates record the streams of hosts that are out of step when a version joins

Cause: streams are recorded once a second version is seen, by the hosts where they began. A host that stands still or is cut off at that moment records nothing, and nobody else knows where its streams began.

Change: a second after it saw another version, a host records, as the gate of their servers, the streams with slots that it granted before and that their hosts neither released nor recorded. The record has an id of its own, so that one by the host where the stream began goes before it. Streams whose gate stands still as well are refused as before.

Evidence: resumed_of_host_out_of_step_goes_on_at_its_version failed with the recording switched off (503, several software versions are in use).

--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -165,6 +165,9 @@
             };
             (inner, verdict) = waited;
         }
+        if verdict == Verdict::Granted && request.class == Class::Online {
+            host.note_granted_stream(request, &server.software);
+        }
         Admission::Answered {
             verdict,
             counts: inner.queue.counts(),
@@ -224,6 +227,7 @@
         is_sent: bool,
     ) -> Vec<Counts> {
         let counts = slots.iter().map(|slot| {
+            host.note_released_stream(&slot.id);
             let Some(gate) = self.find(&slot.server) else {
                 return Counts::default();
             };
--- a/src/gate/slot.rs
+++ b/src/gate/slot.rs
@@ -27,6 +27,16 @@
     pub since: Pos,
 }
 
+impl SlotRequest {
+    /// Id of the work that the attempt is for: the id of its first attempt, later ones have a number added.
+    pub fn work_id(&self) -> Name {
+        match self.id.rsplit_once('.') {
+            Some((work, number)) if number.bytes().all(|b| b.is_ascii_digit()) => work.into(),
+            _ => self.id.clone(),
+        }
+    }
+}
+
 /// Answer to [`SlotRequest`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
--- a/src/resume/mod.rs
+++ b/src/resume/mod.rs
@@ -7,10 +7,12 @@
 //! first event, and every host finds it there, also after the loss of all hosts.
 //!
 //! While only one version is in use, the log has that version, but no streams: a stream without a record has
-//! that version. When a second one comes, each host records the streams that it began lately.
+//! that version. When a second one comes, each host records the streams that it began lately, and gates those of
+//! hosts that did not.
 
 mod begun;
 mod decide;
+mod granted;
 mod origins;
 mod peers;
 mod resolve;
@@ -23,6 +25,7 @@
 pub use versions::{RESUME_MAX, Usage, Versions};
 
 use crate::clock::Time;
+use granted::{GrantedStreams, Joined};
 use std::sync::{Mutex, MutexGuard};
 
 /// What one host knows of the versions of streams, besides the folded log.
@@ -30,6 +33,10 @@
 pub struct Resume {
     versions: Mutex<Versions>,
     begun: Mutex<Begun>,
+    /// Streams that began at other hosts, with slots that this one granted.
+    granted: Mutex<GrantedStreams>,
+    /// Services that a version joined whose granted streams are to be compared with the records.
+    joined: Mutex<Vec<Joined>>,
     /// When a record last was not appended in time.
     unrecorded: Mutex<Option<Time>>,
 }
@@ -43,6 +50,14 @@
         self.begun.lock().expect("begun streams")
     }
 
+    fn granted(&self) -> MutexGuard<'_, GrantedStreams> {
+        self.granted.lock().expect("granted streams")
+    }
+
+    fn joined(&self) -> MutexGuard<'_, Vec<Joined>> {
+        self.joined.lock().expect("joined versions")
+    }
+
     fn unrecorded(&self) -> MutexGuard<'_, Option<Time>> {
         self.unrecorded.lock().expect("missing records")
     }
--- a/src/resume/resolve.rs
+++ b/src/resume/resolve.rs
@@ -52,6 +52,7 @@
         let unmarked = versions.unmarked();
         drop(versions);
         if is_new {
+            unmarked.iter().for_each(|s| self.note_joined(s));
             unmarked.iter().for_each(|s| drop(self.submit_mark(s)));
         }
     }
@@ -101,7 +102,7 @@
         }
     }
 
-    fn submit_stream(&self, stream: Stream, is_mixed: bool) -> Ticket {
+    pub(super) fn submit_stream(&self, stream: Stream, is_mixed: bool) -> Ticket {
         self.origins.submit(&Record {
             id: stream.id,
             service: stream.service,
@@ -133,7 +134,7 @@
             let asked = self.now();
             self.read_records();
             let age = self.now().saturating_sub(began);
-            if let Some(found) = self.origins.view(|o| o.stream(id).cloned()) {
+            if let Some(found) = self.recorded(id) {
                 note_resumed(asked_by, id, &found.version, "recorded", age);
                 return Ok((found.service, found.version));
             }
@@ -187,10 +188,7 @@
     /// What this host can tell another one about the stream `id` of `service`.
     pub(super) fn known_versions(&self, id: &str, service: &str) -> VersionsReply {
         let begun = self.resume.begun().find(id).map(|s| s.version.clone());
-        let recorded = || {
-            self.origins
-                .view(|o| o.stream(id).map(|s| s.version.clone()))
-        };
+        let recorded = || self.recorded(id).map(|s| s.version);
         let usage = self.usage(service);
         let is_sole = usage.is_covered && !self.was_mixed(service, RESUME_MAX);
         VersionsReply {
@@ -263,6 +261,7 @@
     if host.origins.progress().caught_up.is_none() {
         host.origins.read_now();
     }
+    host.record_granted();
     host.resume
         .versions()
         .confirm(|service, version| host.is_sole_in_log(service, version));
