--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -52,7 +52,6 @@
 
 #[derive(Debug)]
 pub(super) struct Inner {
-    server: Name,
     pub(super) queue: Queue,
     /// Calls on this host that wait for a slot.
     waiters: Vec<Waiter>,
@@ -91,11 +90,16 @@
             let age_ms = now.saturating_sub(at).as_millis() as u64;
             tracing::info!(server = &*server.name, rate, age_ms, "server_limit_lapsed");
         }
-        let rate = stated.map(|(rate, _)| self.role(host, holder, now).granted_rate(rate));
+        let role = |rate| {
+            self.role(host, &server.name, holder, now)
+                .granted_rate(rate)
+        };
+        let rate = stated.map(|(rate, _)| role(rate));
         self.queue.set_rate(rate, now);
     }
 
-    fn role(&self, host: &Host, holder: &Name, now: Time) -> Role {
+    /// By what right this host grants slots of `server` to `holder`.
+    fn role(&self, host: &Host, server: &str, holder: &Name, now: Time) -> Role {
         let count = host.members.ring().peers().len();
         if let Some(since) = self.owned_since {
             return match now.saturating_sub(since) >= limit::handover(count) {
@@ -103,7 +107,7 @@
                 false => Role::Standby,
             };
         }
-        let owners = host.members.owners(&gate_key(&self.server), OWNERS);
+        let owners = host.members.owners(&gate_key(server), OWNERS);
         let is_alone = *holder == host.me.name && owners.iter().all(|o| o.name != host.me.name);
         match is_alone {
             true => Role::Alone(count),
@@ -346,7 +350,6 @@
                 let gate = Arc::new(Gate {
                     server: server.name.clone(),
                     inner: Mutex::new(Inner {
-                        server: server.name.clone(),
                         queue: Queue::new(server.slots, now),
                         waiters: Vec::new(),
                         owned_since: None,
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -208,8 +208,7 @@
             Ok(at) => self.held[at].expires = now + SLOT_LEASE,
             Err(at) => {
                 self.withdraw(&request.id);
-                let mut held = self.new_held(now, request.clone(), weight);
-                held.is_charged = false;
+                let held = self.new_held(now, request.clone(), weight);
                 self.held.insert(at, held);
             }
         }
@@ -250,7 +249,8 @@
                 }
             }
             effects.granted.push(request.id.clone());
-            let held = self.new_held(now, next.request, next.weight);
+            let mut held = self.new_held(now, next.request, next.weight);
+            held.is_charged = self.throttle.is_some();
             let at = self.find(&held.request.id).unwrap_or_else(|at| at);
             self.held.insert(at, held);
         }
@@ -369,7 +369,7 @@
             expires: now + SLOT_LEASE,
             preempted: false,
             ended: false,
-            is_charged: true,
+            is_charged: false,
         }
     }
 
--- a/tests/gate_throttle.rs
+++ b/tests/gate_throttle.rs
@@ -272,3 +272,15 @@
         prop_assert!(most.max().unwrap_or(0) as f64 <= allowed);
     }
 }
+
+#[test]
+fn release_unsent_of_slot_from_before_the_limit_returns_none() {
+    let mut queue = Queue::new(8, Time::ZERO);
+    request(&mut queue, SECOND, "a", Class::Online, false);
+    queue.set_rate(Some(1.0), SECOND);
+    queue.release_unsent(SECOND, "a");
+    assert_eq!(
+        request(&mut queue, SECOND, "b", Class::Online, false),
+        Verdict::Busy
+    );
+}
