Have a host that gets a gate back begin anew

What callers and servers see: after a gate moved to a host that joined and back again, its first host could grant the whole limit of a server at once, while others may still ask the host in between, which grants the whole limit too: up to twice the limit for the seconds until all hosts know.

Cause: since when a host is in charge of a gate was noted only when the host was asked for a slot. A host that gave a gate up is not asked any more, so it kept the time of its first term, if the gate had slots in use when it moved (idle gates are dropped).

As a gate that is never asked has its term counted too, a server that gets its first request long after its gate was placed is not granted by a quarter.

--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -271,7 +271,7 @@
     }
 
     /// Creates the gates placed on this host, so that their settling time has passed when the first
-    /// request comes. Drops idle gates that are placed elsewhere.
+    /// request comes. Drops idle gates that are placed elsewhere; busy ones are not in charge any more.
     fn sync_gates(&self, host: &Host) {
         let mut placement = self.placement.lock().expect("placement");
         let current = Placement {
@@ -294,6 +294,9 @@
         }
         let mut gates = self.gates.lock().expect("gates");
         gates.retain(|g| mine(&g.server) || !g.lock().queue.is_idle());
+        for gate in gates.iter() {
+            gate.lock().note_ownership(mine(&gate.server), host.now());
+        }
         *placement = current;
     }
 
@@ -309,6 +312,11 @@
         }
     }
 
+    /// Since when this host has been in charge of the gate of `server`; `None` if it is not.
+    pub fn owned_since(&self, server: &str) -> Option<Time> {
+        self.find(server)?.lock().owned_since
+    }
+
     /// Number of requests for `model` that hold a slot of `server` or wait for one.
     pub fn running(&self, server: &str, model: &str) -> usize {
         self.find(server)
