Resume streams that peers know at the service where they began

A host that cannot read the log asks others where a stream began. They answered with the version only, and the service was the one that the route names now: on a route that was moved or split since, the stream would have gone on at the same version of another service. Found by reading; no run showed it. The answer now has the service too, as a record in the log has.

--- a/src/resume/mod.rs
+++ b/src/resume/mod.rs
@@ -21,7 +21,7 @@
 pub use begun::{Begun, Stream};
 pub use decide::{Evidence, Origin, decide};
 pub use origins::{Origins, Record, Recorded};
-pub use peers::{Testimony, VersionsCall, VersionsReply, sum_up};
+pub use peers::{Beginning, Testimony, VersionsCall, VersionsReply, sum_up};
 pub use versions::{RESUME_MAX, Usage, Versions};
 
 use crate::clock::Time;
--- a/src/resume/peers.rs
+++ b/src/resume/peers.rs
@@ -33,11 +33,20 @@
     pub service: Name,
 }
 
+/// Where a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beginning {
+    /// Service of its server.
+    pub service: Name,
+    /// Software version of its server.
+    pub version: Name,
+}
+
 /// Answer to [`VersionsCall`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionsReply {
-    /// Version at which the stream began, if the host knows.
-    pub began: Option<Name>,
+    /// Where the stream began, if the host knows.
+    pub began: Option<Beginning>,
     /// The only version of the service that the host saw lately; `None` if there are several or it cannot
     /// tell.
     pub sole: Option<Name>,
@@ -51,8 +60,8 @@
 /// What the other hosts tell together.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Testimony {
-    /// One of them knows the version at which the stream began.
-    Began(Name),
+    /// One of them knows where the stream began.
+    Began(Beginning),
     /// Most of those asked answered, and all of these saw only the version that this host saw.
     Agreed,
     /// It is not certain.
--- a/src/resume/resolve.rs
+++ b/src/resume/resolve.rs
@@ -1,7 +1,8 @@
 //! Records where streams begin, and finds out where they may go on.
 
 use super::{
-    Evidence, Origin, RESUME_MAX, Record, Stream, Testimony, Usage, VersionsReply, decide, peers,
+    Beginning, Evidence, Origin, RESUME_MAX, Record, Stream, Testimony, Usage, VersionsReply,
+    decide, peers,
 };
 use crate::{
     clock::{Clock, Time},
@@ -141,9 +142,9 @@
             let mut evidence = self.evidence(service, asked);
             if !evidence.is_read && !evidence.is_cut_off {
                 match peers::ask(self, &id.into(), service, &evidence.usage) {
-                    Testimony::Began(version) => {
-                        note_resumed(asked_by, id, &version, "peer", age);
-                        return Ok((service.clone(), version));
+                    Testimony::Began(began) => {
+                        note_resumed(asked_by, id, &began.version, "peer", age);
+                        return Ok((began.service, began.version));
                     }
                     Testimony::Agreed => evidence.is_confirmed = true,
                     Testimony::Unsure => {}
@@ -187,8 +188,16 @@
 
     /// What this host can tell another one about the stream `id` of `service`.
     pub(super) fn known_versions(&self, id: &str, service: &str) -> VersionsReply {
-        let begun = self.resume.begun().find(id).map(|s| s.version.clone());
-        let recorded = || self.recorded(id).map(|s| s.version);
+        let begun = self.resume.begun().find(id).map(|s| Beginning {
+            service: s.service.clone(),
+            version: s.version.clone(),
+        });
+        let recorded = || {
+            self.recorded(id).map(|s| Beginning {
+                service: s.service,
+                version: s.version,
+            })
+        };
         let usage = self.usage(service);
         let is_sole = usage.is_covered && !self.was_mixed(service, RESUME_MAX);
         VersionsReply {
--- a/tests/resume_peers.rs
+++ b/tests/resume_peers.rs
@@ -1,6 +1,6 @@
 //! What a host that cannot read the log makes of the answers of others about a stream.
 
-use gooseberrytack::resume::{Testimony, Usage, VersionsReply, sum_up};
+use gooseberrytack::resume::{Beginning, Testimony, Usage, VersionsReply, sum_up};
 
 fn saw_v1() -> Usage {
     Usage {
@@ -10,9 +10,17 @@
     }
 }
 
+/// A beginning of a service other than the one that the request's route names.
+fn began_at(version: &str) -> Beginning {
+    Beginning {
+        service: "earlier".into(),
+        version: version.into(),
+    }
+}
+
 fn reply(began: Option<&str>, sole: Option<&str>) -> Option<VersionsReply> {
     Some(VersionsReply {
-        began: began.map(Into::into),
+        began: began.map(began_at),
         sole: sole.map(Into::into),
     })
 }
@@ -45,5 +53,8 @@
 #[test]
 fn sum_up_one_knows_where_it_began() {
     let replies = [None, None, reply(Some("v2"), None)];
-    assert_eq!(sum_up(&replies, &saw_v1()), Testimony::Began("v2".into()));
+    assert_eq!(
+        sum_up(&replies, &saw_v1()),
+        Testimony::Began(began_at("v2"))
+    );
 }
