Skip the limits of servers for batch work and while none is throttled

check_limits went through all servers of a model in each round of each waiting request, also for batch work, for which the result does not matter, and where no server is throttled. No change in what is refused.

--- a/src/route/acquire.rs
+++ b/src/route/acquire.rs
@@ -286,8 +286,11 @@
     /// Fails if every server that can run the work states a limit that holds it back until it is too late.
     pub(super) fn check_limits(&self) -> Res<()> {
         let (now, routes) = (self.host.now(), &self.host.routes);
+        if self.work.class == Class::Batch || !routes.throttled.has_any() {
+            return Ok(());
+        }
         let earliest = routes.earliest_slot(self.host, self.work, self.version.as_ref(), now);
-        if self.work.class == Class::Batch || earliest <= now.max(self.wait_end()) {
+        if earliest <= now.max(self.wait_end()) {
             return Ok(());
         }
         let text = "every backend server that can run the request is at the limit that it states";
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -16,6 +16,8 @@
 const AFFINITY_SLACK: f32 = 0.25;
 /// Load, as a fraction of the slots, that a server in another failure domain must save.
 const FAR_LOAD: f32 = 0.1;
+/// Load up to which online requests prefer servers that do not limit the requests that they take.
+const UNLIMITED_LOAD: f32 = 0.75;
 
 /// A server that could run a request.
 #[derive(Debug, Clone, PartialEq)]
@@ -33,8 +35,6 @@
     /// Whether the server may get work.
     pub availability: Availability,
 }
-/// Load up to which online requests prefer servers that do not limit the requests that they take.
-const UNLIMITED_LOAD: f32 = 0.75;
 
 impl Candidate {
     /// The server with or without a limit; one that is throttled has no slot to give.
--- a/src/route/throttled.rs
+++ b/src/route/throttled.rs
@@ -79,6 +79,11 @@
         true
     }
 
+    /// Whether any server was found to be throttled.
+    pub fn has_any(&self) -> bool {
+        !self.lock().is_empty()
+    }
+
     /// Whether `server` is not expected to take a request at `now`.
     pub fn has(&self, server: &str, now: Time) -> bool {
         let servers = self.lock();
