Have an unlisted host grant a part of a server's limit only

What servers see: a host that announced itself, or whose announcement lapsed, is in its own view of the fleet whether the host list shows it or not. While it is not listed, the others take another host for the gate; both were in charge for as long as that lasted, and granted the whole limit of the server each.

Cause: the time since when a host is in charge of a gate counted from when it took itself for the gate. Change: it counts while the list shows the host. Until then, and for the time of a handover after, it grants a quarter, like a host that stands in.

--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -41,6 +41,7 @@
 struct Placement {
     servers: Vec<Name>,
     hosts: Vec<Peer>,
+    is_listed: bool,
 }
 
 /// The gate of one server.
@@ -153,6 +154,7 @@
         let gate = self.gate_for(&server, host.now());
         let weight = weight(host, request);
         let may_wait = !call.wait.is_zero();
+        let is_owner = is_owner && is_listed(host);
         let mut inner = gate.lock();
         inner.queue.resize(server.slots);
         inner.note_ownership(is_owner, host.now());
@@ -279,6 +281,7 @@
                 .config
                 .view(|s| s.servers.iter().map(|s| s.name.clone()).collect()),
             hosts: host.members.live(),
+            is_listed: is_listed(host),
         };
         if *placement == current {
             return;
@@ -295,7 +298,8 @@
         let mut gates = self.gates.lock().expect("gates");
         gates.retain(|g| mine(&g.server) || !g.lock().queue.is_idle());
         for gate in gates.iter() {
-            gate.lock().note_ownership(mine(&gate.server), host.now());
+            let is_owner = current.is_listed && mine(&gate.server);
+            gate.lock().note_ownership(is_owner, host.now());
         }
         *placement = current;
     }
@@ -371,6 +375,11 @@
     }
 }
 
+/// Whether other hosts can know that this one is in charge of its gates.
+fn is_listed(host: &Host) -> bool {
+    host.members.is_listed(&host.me.name)
+}
+
 pub(super) fn weight(host: &Host, request: &SlotRequest) -> u32 {
     host.config
         .view(|s| s.workspace(&request.workspace).map_or(1, |w| w.weight))
--- a/tests/partition_gates.rs
+++ b/tests/partition_gates.rs
@@ -158,3 +158,22 @@
     });
     assert!(is_owner(&harness, first));
 }
+
+#[test]
+fn gate_on_unlisted_host_is_not_in_charge() {
+    let harness = start();
+    let [first, second, _] = order(&harness);
+    let since = |i: usize| harness.host(i).gates.queues.owned_since("e0");
+    wait_for("a gate in charge", || since(first).is_some());
+    let began = since(first);
+    let name = harness.host(first).me.name.clone();
+    harness.list.hide(&name);
+    wait_for("only the next host in charge", || {
+        since(first).is_none() && since(second).is_some()
+    });
+    harness.list.unforce(&name);
+    wait_for("the first host in charge again", || {
+        since(second).is_none() && since(first).is_some()
+    });
+    assert!(since(first) > began);
+}
