--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -29,6 +29,7 @@
 /// Age at which a slot is renewed: a third of `SLOT_LEASE`, so that one or two lost messages lose
 /// no slot, and less than `SETTLE`, so that a new gate learns of it before granting batch work.
 const RENEW_AGE: Duration = Duration::from_secs(1);
+
 /// Slots that this host holds, and the releases still to be sent.
 #[derive(Debug, Default)]
 pub struct Held {
