--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -373,7 +373,7 @@
     Ok(broken)
 }
 
-/// UNASKED: an item runs with the `Tenant` that its sender chose.
+/// UNASKED: an item runs with the `Tenant` that its sender chose, or with the key.
 fn item_tenant(record: Arc<Record>, trouble: bool, folder: &str) -> Outcome {
     let fleet = Fleet::start(record.clone(), 3, 6, PLAIN, u64::MAX)?;
     let (other, own) = (&TENANTS[0], &TENANTS[1]);
@@ -388,7 +388,13 @@
     record.say(&format!("online request {id} of {} answered {}", own.name, got.status()));
     let mut job = Job::new(own, &fleet.route(), 10, 1500);
     if trouble {
-        job.items.iter_mut().for_each(|i| i.headers.push(("Tenant".into(), other.name.into())));
+        // As clients send them with an online request.
+        for (n, item) in job.items.iter_mut().enumerate() {
+            item.headers.push(match n % 2 {
+                0 => ("Tenant".into(), other.name.into()),
+                _ => ("Key".into(), own.key.into()),
+            });
+        }
     }
     let status = job.submit(&fleet);
     record.say(&format!("job {} with the key of {} answered {status}", job.id, own.name));
@@ -400,6 +406,10 @@
             record.note(&format!("head of the run of {}:\n{}", run.id, run.head));
             broken.push(format!("UNASKED {} ran with Tenant {:?}; the key is of {}", run.id, run.tenants, own.name));
         }
+        if run.head.contains(own.key) {
+            record.note(&format!("head of the run of {}:\n{}", run.id, run.head));
+            broken.push(format!("UNASKED {} ran; its server was passed the key {}", run.id, own.key));
+        }
     }
     keep_logs(&fleet, folder);
     Ok(broken)
