Review, case 2: fill the store sooner; a case that cannot fill it does not run

The clients send a job each 650 ms in place of 800, so that the store is full after some 38 s, also on a slower machine.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -101,6 +101,8 @@
 
 /// LOST: accepted items are never listed once the store holds 400 MB, which it does as nothing is deleted.
 fn store_full(record: Arc<Record>, trouble: bool, folder: &str) -> Outcome {
+    /// Time from one job to the next, for each of four clients: some 11 MB a second in all.
+    const PAUSE: Duration = Duration::from_millis(650);
     let limit = if trouble { 400 << 20 } else { u64::MAX };
     // An item takes 3 s.
     let making = Making { events: 15, pause: Duration::from_millis(200), begins_empty: false };
@@ -109,15 +111,15 @@
     let (accepted, refused) = (Mutex::new(Vec::new()), AtomicUsize::new(0));
     let left = AtomicUsize::new(260);
     let is_over = AtomicBool::new(false);
-    let until = Instant::now() + Duration::from_secs(55);
+    let until = Instant::now() + Duration::from_secs(65);
     thread::scope(|scope| {
         for client in 0..4 {
             let (fleet, accepted, refused, left, is_over, route) = (&fleet, &accepted, &refused, &left, &is_over, &route);
             scope.spawn(move || {
                 let take = || left.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |n| n.checked_sub(1)).is_ok();
-                thread::sleep(LARGE_JOB_PAUSE / 4 * client as u32);
+                thread::sleep(PAUSE / 4 * client as u32);
                 while !is_over.load(Ordering::SeqCst) && Instant::now() < until && take() {
-                    let next = Instant::now() + LARGE_JOB_PAUSE;
+                    let next = Instant::now() + PAUSE;
                     let job = Job::new(&TENANTS[client % 2], route, 4, LARGE_ITEM);
                     match job.submit(fleet) {
                         202 => accepted.lock().expect("jobs").push(job),
@@ -139,6 +141,9 @@
         "traffic ended: {} jobs accepted, {} not; the store holds {} bytes and answered 507 to {} appends",
         accepted.len(), refused.load(Ordering::SeqCst), fleet.store.stored(), fleet.store.refused_full.load(Ordering::SeqCst)
     ));
+    if trouble && fleet.store.refused_full.load(Ordering::SeqCst) == 0 {
+        return Err(io::Error::other("the store did not get full in time"));
+    }
     for (topic, bytes, keys) in fleet.store.sizes() {
         record.say(&format!("newest records of {topic}: {keys}, {bytes} bytes"));
     }
