--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -27,6 +27,9 @@
 /// Pause before an item whose announcement failed is dispatched again.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(200);
 
+/// Pause before an item is tried again whose route or model this host does not know yet.
+const CONFIG_PAUSE: Duration = Duration::from_millis(250);
+
 /// Stops the work on an item when the host gives up its part, or preempts the item.
 struct ItemSink<'a> {
     host: &'a Host,
@@ -151,7 +154,7 @@
 fn attempt(host: &Arc<Host>, stream: &Stream, task: &Task) -> Verdict {
     let model = match target_of(host, task) {
         Ok(model) => model,
-        Err(fail) => return judge(Err(fail), task.tries, false),
+        Err(fail) => return judge(Err(absent(host, task, fail)), task.tries, false),
     };
     let work = Work {
         id: format!("{}.{}.{}", item_id(task), task.at.epoch, task.attempt).into(),
@@ -199,6 +202,16 @@
     }
 }
 
+/// The error for what the configuration lacks for an item. The configuration in force when the job was accepted may be
+/// newer than this host's; the item then waits.
+fn absent(host: &Host, task: &Task, fail: Fail) -> Fail {
+    let fail = host.absent_since(task.since, fail);
+    match fail.kind {
+        Kind::NotReady => fail.retry_after(CONFIG_PAUSE),
+        _ => fail,
+    }
+}
+
 /// Checks that the model of the work is declared and allows its number of tokens.
 fn check_model(host: &Host, work: &Work) -> Res<()> {
     let most = host.config.view(|c| c.model(&work.model).map(|m| m.tokens));
@@ -222,7 +235,7 @@
     work: &Work,
     sink: &mut ItemSink<'_>,
 ) -> Res<Answer> {
-    check_model(host, work)?;
+    check_model(host, work).map_err(|fail| absent(host, task, fail))?;
     let span = ownership::lease_span(host);
     let is_held = stream.scheduler().lease.is_held(host.now(), span);
     if task.stop.load(Ordering::Relaxed) || !is_held {
--- a/src/batch/scheduler.rs
+++ b/src/batch/scheduler.rs
@@ -44,6 +44,8 @@
     /// Log position of the job's commit.
     accepted: Pos,
     stop: Arc<AtomicBool>,
+    /// Time of the first dispatch.
+    since: Option<Time>,
     queue: VecDeque<QueuedItem>,
     running: u32,
     /// Non-repeatable items that were tried and did not run; the release takes back their intents.
@@ -76,6 +78,8 @@
     pub workspace: Name,
     /// Log position of the job's commit.
     pub accepted: Pos,
+    /// Time by which the job was accepted: the first dispatch of the part at this host.
+    pub since: Time,
     /// Request of the item.
     pub spec: Arc<ItemSpec>,
     /// Earlier tries that count against the item.
@@ -167,6 +171,7 @@
             index: queued.index,
             workspace: held.workspace.clone(),
             accepted: held.accepted,
+            since: *held.since.get_or_insert(now),
             spec: queued.spec,
             tries: queued.tries,
             attempt: queued.attempt,
@@ -324,6 +329,7 @@
             workspace: job.workspace.clone(),
             accepted: job.at,
             stop: Arc::default(),
+            since: None,
             queue: queue.collect(),
             running: 0,
             unrun: Vec::new(),
--- a/src/config/types.rs
+++ b/src/config/types.rs
@@ -140,6 +140,11 @@
 }
 
 impl State {
+    /// Whether there is a key with `hash`, withdrawn or not.
+    pub fn has_key(&self, hash: &str) -> bool {
+        find(&self.keys, |k| &k.hash, hash).is_some()
+    }
+
     /// The key with `hash`, unless it was withdrawn.
     pub fn key(&self, hash: &str) -> Option<&Key> {
         find(&self.keys, |k| &k.hash, hash).filter(|k| !k.withdrawn)
--- a/src/entry/auth.rs
+++ b/src/entry/auth.rs
@@ -44,11 +44,17 @@
 /// The caller whose key has the hash `hash`.
 ///
 /// # Errors
-/// `Unauthorized` if the key is unknown or withdrawn.
+/// `Unauthorized` if the key is unknown or withdrawn, `NotReady` if it may be new.
 pub fn caller(host: &Host, hash: Name) -> Res<Caller> {
-    let workspace = workspace_of(host, &hash)
-        .ok_or_else(|| Fail::new(Kind::Unauthorized, "the key is unknown or was withdrawn"))?;
-    Ok(Caller { workspace, hash })
+    if let Some(workspace) = workspace_of(host, &hash) {
+        return Ok(Caller { workspace, hash });
+    }
+    let fail = Fail::new(Kind::Unauthorized, "the key is unknown or was withdrawn");
+    // A key that this host knows is certainly withdrawn.
+    Err(match host.config.view(|s| s.has_key(&hash)) {
+        true => fail,
+        false => host.absent(fail),
+    })
 }
 
 /// Whether the key of `caller` is still valid. Checked repeatedly while an answer is generated.
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -75,7 +75,13 @@
         return Err(Fail::new(Kind::BadType, text));
     }
     let body = &exchange.request.body;
-    let ask = host.config.view(|state| ChatRequest::parse(body, state))?;
+    let ask = host
+        .config
+        .view(|state| ChatRequest::parse(body, state))
+        .map_err(|fail| match (fail.kind, fail.field.as_deref()) {
+            (Kind::UnknownModel, _) | (Kind::BadRequest, Some("adapter")) => host.absent(fail),
+            _ => fail,
+        })?;
     if ask.stream && !exchange.request.head.chunks {
         return Err(Fail::field("stream", "needs HTTP/1.1"));
     }
--- a/src/entry/service.rs
+++ b/src/entry/service.rs
@@ -53,7 +53,10 @@
     let route = host
         .config
         .view(|s| find_route(&s.routes, path).cloned())
-        .ok_or_else(|| Fail::new(Kind::NotFound, format!("no path \"{path}\"")))?;
+        .ok_or_else(|| {
+            let fail = Fail::new(Kind::NotFound, format!("no path \"{path}\""));
+            host.absent(fail)
+        })?;
     let mut admission = admit(host, &route, exchange)?;
     let call = Forward::new(host, &route, request);
     let once = request
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -3,6 +3,7 @@
 //! A role registers a [`Plugin`] with `inventory::submit!`: its routes, its periodic tasks and its
 //! stop hook. Handlers are plain functions that take the host, not trait objects.
 
+mod absent;
 mod call;
 mod edges;
 mod host;
--- a/src/pass/forward.rs
+++ b/src/pass/forward.rs
@@ -58,13 +58,14 @@
 /// Finds the route for the host name `name` and `path`, and authenticates the caller by `key`.
 ///
 /// # Errors
-/// `NotReady` if this host knows no configuration, `NotFound`, or `Unauthorized`.
+/// `NotReady` if this host knows no configuration or may be behind it, `NotFound`, or `Unauthorized`.
 pub fn authorize(host: &Host, name: &str, path: &str, key: Option<&str>) -> Res<Access> {
     check_connected(host)?;
     let route = host.config.view(|s| pass_route(s, name, path).cloned());
     let route = route.ok_or_else(|| {
         let text = format!("no route for host \"{name}\" and path \"{path}\"");
-        Fail::new(Kind::NotFound, text)
+        let fail = Fail::new(Kind::NotFound, text);
+        retry_elsewhere(host.absent(fail))
     })?;
     if route.open {
         return Ok(Access {
@@ -81,11 +82,19 @@
 /// The caller that `key` belongs to.
 ///
 /// # Errors
-/// `NotReady` if this host knows no configuration, or `Unauthorized`.
+/// `NotReady` if this host knows no configuration or may be behind it, or `Unauthorized`.
 pub fn authenticate(host: &Host, key: Option<&str>) -> Res<Caller> {
     check_connected(host)?;
     let key = key.ok_or_else(|| Fail::new(Kind::Unauthorized, "the request has no key"))?;
-    auth::caller(host, auth::hash_key(key))
+    auth::caller(host, auth::hash_key(key)).map_err(retry_elsewhere)
+}
+
+/// Sends the caller to another host at once if only this one cannot tell.
+fn retry_elsewhere(fail: Fail) -> Fail {
+    match fail.kind {
+        Kind::NotReady => fail.retry_after(RETRY_ELSEWHERE),
+        _ => fail,
+    }
 }
 
 fn check_connected(host: &Host) -> Res<()> {
