--- a/src/batch/accept.rs
+++ b/src/batch/accept.rs
@@ -1,6 +1,6 @@
 //! Appends a new job to its stream.
 
-use super::{message::NewJob, ownership::append_interval, stream::Stream};
+use super::{doubt::unsettled, message::NewJob, ownership::append_interval, stream::Stream};
 use crate::{
     clock::Clock,
     error::{Fail, Kind, Res},
@@ -119,14 +119,15 @@
     let mut fewest = recs.len();
     let mut moved = host.now();
     let jobs = &stream.jobs;
-    let settle = |limit| jobs.settle(&commit, limit, |s| look_up(s, id, digest));
+    // Without a commit, pieces that come late have no effect.
+    let mut in_doubt = false;
+    let settle = |first, limit, in_doubt: &mut bool| {
+        jobs.settle_after(first, &commit, limit, in_doubt, |s| look_up(s, id, digest))
+    };
     if let [piece] = &recs[..] {
-        // One append carries both; without the piece the commit has no effect.
-        jobs.submit(piece);
-        match settle(left(host).min(wait)) {
+        match settle(Some(piece), left(host).min(wait), &mut in_doubt) {
             Err(fail) if fail.kind == Kind::Conflict => {}
-            Err(fail) if fail.kind == Kind::LogDown => return Err(log_down()),
-            settled => return answer(host, new, settled),
+            settled => return answer(host, new, settled, in_doubt),
         }
     }
     loop {
@@ -142,19 +143,25 @@
         let limit = left(host).min(patience);
         put_pieces(host, stream, &recs, &missing, limit);
         if limit.is_zero() || host.is_dead() {
-            return Err(log_down());
+            return Err(not_accepted(id, in_doubt));
         }
     }
-    answer(host, new, settle(left(host).min(wait)))
+    let settled = settle(None, left(host).min(wait), &mut in_doubt);
+    answer(host, new, settled, in_doubt)
 }
 
-fn log_down() -> Fail {
+/// The error for a job that the log did not take; `in_doubt` tells whether its commit may still come.
+fn not_accepted(id: &str, in_doubt: bool) -> Fail {
+    if in_doubt {
+        tracing::info!(job = id, "commit_may_land_late");
+        return unsettled(id);
+    }
     let text = "the log does not take the items; nothing was kept";
     Fail::new(Kind::LogDown, text)
 }
 
 /// Turns the result of a commit into the answer to the caller.
-fn answer(host: &Host, new: &NewJob, settled: Res<Res<Arc<Job>>>) -> Res<Arc<Job>> {
+fn answer(host: &Host, new: &NewJob, settled: Res<Res<Arc<Job>>>, in_doubt: bool) -> Res<Arc<Job>> {
     let id = &new.id;
     match settled {
         Ok(result) => {
@@ -164,13 +171,8 @@
             }
             result
         }
-        Err(fail) if fail.kind == Kind::Unsettled => {
-            let text = format!(
-                "whether the job was accepted is not known yet; ask for job \"{id}\", or send it \
-                 again with the same id"
-            );
-            Err(Fail::new(Kind::Unsettled, text))
-        }
+        Err(_) if in_doubt => Err(not_accepted(id, in_doubt)),
+        Err(fail) if fail.kind == Kind::LogDown => Err(not_accepted(id, in_doubt)),
         Err(fail) if fail.kind == Kind::Conflict => Err(Fail::new(
             Kind::LogDown,
             "the items did not last in the log; nothing was kept, send the job again",
--- a/src/batch/forward.rs
+++ b/src/batch/forward.rs
@@ -1,6 +1,7 @@
 //! Sends operations on jobs to a host that follows the job's stream.
 
 use super::{
+    doubt::unsettled,
     message::{JobCall, JobOp, JobReply, JobSummary, ListQuery},
     serve,
     stream::Slot,
@@ -31,7 +32,13 @@
 pub fn ask(host: &Host, slot: &Slot, op: &JobOp) -> Res<JobReply> {
     let reply = match host.batch.streams.enter(slot) {
         Some(stream) => serve::run(host, &stream, slot.answered(), op),
-        None => forward(host, slot, op),
+        None => match op {
+            JobOp::Create(job) => {
+                let result = forward(host, slot, op);
+                host.batch.doubts.judge(&job.id, host.now(), result)
+            }
+            _ => forward(host, slot, op),
+        },
     }?;
     slot.note_answered(reply.at());
     Ok(reply)
@@ -157,14 +164,12 @@
         if !doubt || is_settled || fail.kind.row().ran != Ran::No {
             return fail;
         }
-        let text = match self {
-            Self::Create(job) => format!(
-                "whether the job was accepted is not known yet; ask for job \"{}\", or send it \
-                 again with the same id",
-                job.id
-            ),
-            _ => "whether it was done is not known yet; ask for the job".into(),
-        };
-        Fail::new(Kind::Unsettled, text)
+        match self {
+            Self::Create(job) => unsettled(&job.id),
+            _ => {
+                let text = "whether it was done is not known yet; ask for the job";
+                Fail::new(Kind::Unsettled, text)
+            }
+        }
     }
 }
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -9,6 +9,7 @@
 
 mod accept;
 mod api;
+mod doubt;
 mod forward;
 mod load;
 mod message;
@@ -41,6 +42,7 @@
 pub use verdict::{TRIES_MAX, Verdict, judge, judge_passed};
 
 use crate::{
+    batch::doubt::Doubts,
     clock::{SystemClock, Time},
     kernel::{Host, RelayLog},
     settings::Settings,
@@ -58,6 +60,8 @@
     workers: AtomicUsize,
     /// Bytes of uploads under way.
     upload_bytes: AtomicUsize,
+    /// Jobs that may still be accepted although their submission has failed.
+    doubts: Doubts,
 }
 
 impl Batch {
@@ -67,6 +71,7 @@
             streams: Streams::new(log, clock, settings),
             workers: AtomicUsize::new(0),
             upload_bytes: AtomicUsize::new(0),
+            doubts: Doubts::default(),
         }
     }
 
--- a/src/batch/serve.rs
+++ b/src/batch/serve.rs
@@ -89,6 +89,11 @@
 }
 
 fn create(host: &Host, stream: &Stream, job: &NewJob) -> Res<JobReply> {
+    let result = try_create(host, stream, job);
+    host.batch.doubts.judge(&job.id, host.now(), result)
+}
+
+fn try_create(host: &Host, stream: &Stream, job: &NewJob) -> Res<JobReply> {
     if host.is_stopping() {
         let text = "the host is stopping; use another";
         return Err(Fail::new(Kind::Stopping, text));
--- a/src/fold/append.rs
+++ b/src/fold/append.rs
@@ -23,25 +23,29 @@
 impl<F: Fold, L: Log + Clone, C: Clock + Clone> Follower<F, L, C> {
     /// Queues a record for the next append.
     pub fn submit(&self, rec: &F::Record) -> Ticket {
-        let ticket = Ticket::default();
-        match rmp_serde::to_vec(rec) {
-            Ok(bytes) => {
-                let pending = Pending {
-                    bytes,
-                    ticket: ticket.clone(),
-                };
-                self.queue.lock().expect("append queue").push(pending);
-                self.queued.notify_all();
-            }
-            Err(_) => ticket.set(AppendOutcome::NotTaken),
-        }
+        let mut queue = self.queue.lock().expect("append queue");
+        let ticket = enqueue::<F>(&mut queue, rec);
+        drop(queue);
+        self.queued.notify_all();
         ticket
     }
 
-    /// Queues a record and waits up to `limit` for its outcome. A record that is still queued then
-    /// is removed from the queue, so that it is certainly not appended.
-    pub(super) fn submit_within(&self, rec: &F::Record, limit: Duration) -> AppendOutcome {
-        let ticket = self.submit(rec);
+    /// Queues `first`, if any, and `rec` for the same append as far as its size allows, and waits up to
+    /// `limit` for the outcome of `rec`. If `rec` is still queued then, it is removed from the queue, so
+    /// that it is certainly not appended.
+    pub(super) fn submit_within(
+        &self,
+        first: Option<&F::Record>,
+        rec: &F::Record,
+        limit: Duration,
+    ) -> AppendOutcome {
+        let mut queue = self.queue.lock().expect("append queue");
+        if let Some(first) = first {
+            enqueue::<F>(&mut queue, first);
+        }
+        let ticket = enqueue::<F>(&mut queue, rec);
+        drop(queue);
+        self.queued.notify_all();
         match ticket.wait(limit) {
             AppendOutcome::Unknown if self.dequeue(&ticket) => AppendOutcome::NotTaken,
             outcome => outcome,
@@ -106,3 +110,15 @@
         queue.drain(..count).collect()
     }
 }
+
+fn enqueue<F: Fold>(queue: &mut Vec<Pending>, rec: &F::Record) -> Ticket {
+    let ticket = Ticket::default();
+    match rmp_serde::to_vec(rec) {
+        Ok(bytes) => queue.push(Pending {
+            bytes,
+            ticket: ticket.clone(),
+        }),
+        Err(_) => ticket.set(AppendOutcome::NotTaken),
+    }
+    ticket
+}
--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -195,30 +195,49 @@
     /// must ignore repeats of the record.
     ///
     /// # Errors
-    /// `LogDown` if `rec` is certainly not in the log by `limit`; `Unsettled` if it may be;
-    /// `Conflict` if it was applied without effect.
+    /// `LogDown` if `rec` is certainly not in the log by `limit`; `Unsettled` if it may be, or may
+    /// still come; `Conflict` if it was applied without effect.
     pub fn settle<R>(
         &self,
         rec: &F::Record,
         limit: Duration,
         seen: impl Fn(&F) -> Option<R>,
+    ) -> Res<R> {
+        let mut in_doubt = false;
+        match self.settle_after(None, rec, limit, &mut in_doubt, seen) {
+            Err(fail) if fail.kind == Kind::Conflict && in_doubt => Err(settle_error(true)),
+            result => result,
+        }
+    }
+
+    /// Like `settle`, with `first` in front of `rec` in each append. `in_doubt` tells whether an earlier
+    /// append of `rec` may still take effect, and then whether one may: after `Conflict`, a lost append
+    /// of `rec` may still come.
+    ///
+    /// # Errors
+    /// As for [`settle`](Self::settle).
+    pub fn settle_after<R>(
+        &self,
+        first: Option<&F::Record>,
+        rec: &F::Record,
+        limit: Duration,
+        in_doubt: &mut bool,
+        seen: impl Fn(&F) -> Option<R>,
     ) -> Res<R> {
         let end = self.clock.now() + limit;
-        let mut may_be_appended = false;
         let mut min_left = Duration::ZERO;
         loop {
             if let Some(found) = self.view(&seen) {
                 return Ok(found);
             }
             let left = end.saturating_sub(self.clock.now());
-            let is_too_late = !may_be_appended && left < min_left;
+            let is_too_late = !*in_doubt && left < min_left;
             if left.is_zero() || is_too_late || self.stopped.load(Ordering::Relaxed) {
-                return Err(settle_error(may_be_appended));
+                return Err(settle_error(*in_doubt));
             }
             min_left = ATTEMPT_MIN.min(limit / 2);
-            match self.submit_within(rec, left) {
+            match self.submit_within(first, rec, left) {
                 AppendOutcome::Taken(at) => {
-                    may_be_appended = true;
                     let left = end.saturating_sub(self.clock.now());
                     if self.catch_up_to(at, left) {
                         return self.view(&seen).ok_or_else(|| {
@@ -228,10 +247,11 @@
                             )
                         });
                     }
+                    *in_doubt = true;
                 }
                 AppendOutcome::NotTaken => self.clock.sleep(RETRY_PAUSE.min(left)),
                 AppendOutcome::Unknown => {
-                    may_be_appended = true;
+                    *in_doubt = true;
                     self.wait_moved(self.progress().next, RETRY_PAUSE.min(left));
                 }
             }
@@ -354,8 +374,8 @@
     }
 }
 
-fn settle_error(may_be_appended: bool) -> Fail {
-    if may_be_appended {
+fn settle_error(in_doubt: bool) -> Fail {
+    if in_doubt {
         Fail::new(
             Kind::Unsettled,
             "the outcome is not known yet; retry with the same id",
