--- a/src/batch/passed.rs
+++ b/src/batch/passed.rs
@@ -28,6 +28,7 @@
 /// `RateLimited` if it does not fit in the workspace's limit; `Unsettled` if it may be accepted
 /// later; after any other error no item of it ever runs.
 pub fn submit(host: &Host, route: &PassRoute, mut job: NewJob) -> Res<()> {
+    check_paths(route, &job.specs)?;
     if host.relay.is_cut_off(host) {
         let text = "neither the log nor another host can be reached; nothing was kept";
         return Err(Fail::new(Kind::LogDown, text).retry_after(RETRY_ELSEWHERE));
@@ -45,6 +46,22 @@
     })
 }
 
+/// Checks that the paths of the items are under their job's route; no server would run others.
+fn check_paths(route: &PassRoute, specs: &[Arc<ItemSpec>]) -> Res<()> {
+    let requests = specs.iter().filter_map(|s| s.request.as_ref());
+    match requests
+        .into_iter()
+        .find(|r| !r.target.starts_with(&*route.prefix))
+    {
+        Some(request) => {
+            let (id, path, prefix) = (&request.id, &request.target, &route.prefix);
+            let text = format!("item {id:?}: {path:?} is not under the route's prefix {prefix:?}");
+            Err(Fail::field("path", text))
+        }
+        None => Ok(()),
+    }
+}
+
 /// Items of a job in the order in which they finished, from the position `from` on; waits up to
 /// `wait` for the first one.
 ///
@@ -138,16 +155,30 @@
     ask(host, slot, &JobOp::Cancel(job))?.job().map(|_| ())
 }
 
-/// Items of a job from requests, each with the tokens that it counts against `PassRoute::queued`.
-pub fn specs_of(requests: Vec<(Request, u32)>) -> Vec<Arc<ItemSpec>> {
-    let spec = |(request, tokens): (Request, u32)| ItemSpec {
-        id: request.id.clone(),
-        model: Name::default(),
-        adapter: None,
-        prompt: Name::default(),
-        tokens,
-        repeatable: true,
-        request: Some(Arc::new(request)),
+/// Items of a job from requests, each with the tokens that it counts against `PassRoute::queued`. Drops the
+/// `reserved` header fields (lower case) and those of connections.
+///
+/// # Errors
+/// `BadRequest` that names an item that cannot be passed on, and its field.
+pub fn specs_of(requests: Vec<(Request, u32)>, reserved: &[&str]) -> Res<Vec<Arc<ItemSpec>>> {
+    let spec = |(mut request, tokens): (Request, u32)| {
+        request.check().map_err(|fail| {
+            let text = format!("item {:?}: {}", request.id, fail.text);
+            Fail {
+                text: text.into(),
+                ..fail
+            }
+        })?;
+        request.keep_passed(reserved);
+        Ok(Arc::new(ItemSpec {
+            id: request.id.clone(),
+            model: Name::default(),
+            adapter: None,
+            prompt: Name::default(),
+            tokens,
+            repeatable: true,
+            request: Some(Arc::new(request)),
+        }))
     };
-    requests.into_iter().map(spec).map(Arc::new).collect()
+    requests.into_iter().map(spec).collect()
 }
--- a/src/batch/verdict.rs
+++ b/src/batch/verdict.rs
@@ -77,7 +77,7 @@
 }
 
 /// Judges a try of a passed-through item after `tries` answers that a server failed. The item fails
-/// when a server refuses it as invalid, or after `most` such answers. All other errors are not the
+/// when it cannot be passed on, when a server refuses it as invalid, or after `most` such answers. All other errors are not the
 /// item's and are not charged.
 pub fn judge_passed(result: Res<Answer>, tries: u32, most: u32) -> Verdict {
     let fail = match result {
@@ -86,7 +86,9 @@
     };
     match fail.kind {
         Kind::Cancelled => Verdict::Drop,
-        Kind::ServerRefused => Verdict::End(failed(&fail, fail.text.to_string())),
+        Kind::ServerRefused | Kind::BadRequest => {
+            Verdict::End(failed(&fail, fail.text.to_string()))
+        }
         Kind::ServerFailed if tries + 1 >= most => {
             let why = &fail.text;
             let text = format!("gave up after {most} answers that a server failed: {why}");
--- a/src/pass/mod.rs
+++ b/src/pass/mod.rs
@@ -6,6 +6,7 @@
 mod body;
 mod conn;
 mod events;
+mod fields;
 mod forward;
 mod registry;
 mod sink;
@@ -104,6 +105,9 @@
 /// The servers' protocol: the header fields of attempts and answers.
 #[derive(Debug, Clone, Copy)]
 pub struct Dialect {
+    /// Names (lower case) of the header fields that hosts set themselves, or that must not reach a server
+    /// from a caller.
+    pub reserved: &'static [&'static str],
     /// Header fields of an attempt, in addition to those of the request.
     pub fields: fn(&AttemptContext<'_>) -> Vec<(&'static str, String)>,
     /// Reads the head of an answer to the request with this id.
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -134,6 +134,10 @@
 /// # Errors
 /// The row of the error's kind in the error table says whether the work ran.
 pub fn dispatch<S: Sink>(host: &Arc<Host>, work: &Work, sink: &mut S) -> Res<Answer> {
+    if let Some(request) = &work.request {
+        // Items that an earlier version accepted were not checked.
+        request.check()?;
+    }
     host.routes.count_request();
     let mut run = Run {
         host,
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -61,7 +61,7 @@
         let fields = (dialect.fields)(&context);
         self.sent += 1;
         self.lost_early = false;
-        let result = match conn.send(&head_text(request, &fields), &request.body) {
+        let result = match conn.send(&head_text(request, dialect, &fields), &request.body) {
             Ok(()) => self.read_answer(slot, attempt, request, dialect, &mut conn, &entry),
             Err(e) => Err(self.lost(&format!("the request was cut: {e}"), entry.is_ended())),
         };
@@ -376,12 +376,12 @@
     Abort::Failed(Fail::new(Kind::BrokenAnswer, text))
 }
 
-fn head_text(request: &Request, fields: &[(&'static str, String)]) -> String {
+fn head_text(request: &Request, dialect: &Dialect, fields: &[(&'static str, String)]) -> String {
     let mut text = format!(
         "{} {} HTTP/1.1\r\nHost: {}\r\n",
         request.method, request.target, request.host
     );
-    let passed = request.fields.iter().map(|(n, v)| (&**n, &**v));
+    let passed = request.passed_fields(dialect.reserved);
     let set = fields.iter().map(|(n, v)| (*n, v.as_str()));
     for (name, value) in passed.chain(set) {
         // Writing to a `String` cannot fail.
