--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -85,6 +85,8 @@
     if ask.stream && !exchange.request.head.chunks {
         return Err(Fail::field("stream", "needs HTTP/1.1"));
     }
+    // Without a limit of the caller's, how long the answer takes is not known.
+    host.check_time_left(ask.limit.unwrap_or_default())?;
     let permit = auth::reserve(host, &caller)?;
     Ok((caller, ask, permit))
 }
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -11,6 +11,7 @@
 mod relay;
 mod router;
 mod tasks;
+mod time_left;
 
 pub use call::{Call, serve_call};
 pub use edges::{Edges, Outside};
@@ -20,6 +21,7 @@
 };
 pub use relay::{RelayLog, neighbours};
 pub use router::Router;
+pub use time_left::STOP_MARGIN;
 
 use crate::http::Exchange;
 use std::{io, sync::Arc, time::Duration};
--- a/src/pass/forward.rs
+++ b/src/pass/forward.rs
@@ -119,6 +119,11 @@
 ) -> io::Result<()> {
     let began = host.now();
     let id = arrival.request.id.clone();
+    if let Err(fail) = host.check_time_left(time_limit(access, &arrival)) {
+        let fail = fail.retry_after(RETRY_ELSEWHERE);
+        note_refusal(host, &id, &fail);
+        return super::send_error(exchange, &fail);
+    }
     let limited = |c: &Caller| {
         let rate = host
             .config
@@ -152,7 +157,7 @@
     }
     host.timeline
         .note(Happening::Received, &id, None, &work.workspace);
-    let mut sink = PassSink::new(host, exchange, permit, began);
+    let mut sink = PassSink::new(host, exchange, permit, began, work.deadline);
     let result = dispatch(host, &work, &mut sink);
     if let Err(fail) = &result {
         note_refusal(host, &id, fail);
@@ -204,9 +209,15 @@
     }
 }
 
+/// Longest time that the caller waits for the whole answer.
+fn time_limit(access: &Access, arrival: &Arrival) -> Duration {
+    let timeout = access.route.timeout;
+    arrival.limit.unwrap_or(timeout).min(timeout)
+}
+
 fn work(access: &Access, arrival: Arrival, began: Time) -> Work {
     let route = &access.route;
-    let limit = arrival.limit.unwrap_or(route.timeout).min(route.timeout);
+    let limit = time_limit(access, &arrival);
     let wait = match route.aim.is_zero() {
         _ if is_resumption(access, &arrival) => RESUMED_SLOT_WAIT,
         true => SLOT_WAIT_DEFAULT,
--- a/src/pass/sink.rs
+++ b/src/pass/sink.rs
@@ -5,7 +5,7 @@
     clock::Time,
     error::{Fail, Kind, Res},
     http::Exchange,
-    kernel::Host,
+    kernel::{Host, STOP_MARGIN},
     limit::Permit,
     route::Sink,
 };
@@ -13,9 +13,6 @@
 
 /// Interval of the checks whether the caller is still connected.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Time before the end of a planned stop at which a request without an answer is refused. Checks of a
-/// waiting request are up to 300 ms apart.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Header fields of the connection (RFC 9110, section 7.6.1) and of the body's framing.
 const CONNECTION_FIELDS: [&str; 9] = [
     "connection",
@@ -40,6 +37,8 @@
     exchange: &'a mut Exchange,
     permit: Option<Permit>,
     began: Time,
+    /// Time after which the caller does not wait.
+    deadline: Time,
     due: Time,
     last: Option<Time>,
     /// Error answer of a server, passed back if no other server succeeds.
@@ -55,12 +54,14 @@
         exchange: &'a mut Exchange,
         permit: Option<Permit>,
         began: Time,
+        deadline: Time,
     ) -> Self {
         Self {
             host,
             exchange,
             permit,
             began,
+            deadline,
             due: began + CHECK_INTERVAL,
             last: None,
             failed: None,
@@ -133,6 +134,9 @@
 
 impl Sink for PassSink<'_> {
     fn admit(&mut self) -> Res<()> {
+        // A request that came before the stop may have waited until now.
+        let left = self.deadline.saturating_sub(self.host.now());
+        self.host.check_time_left(left)?;
         match &mut self.permit {
             Some(permit) => permit.confirm(self.host),
             None => Ok(()),
