--- a/src/engine/client.rs
+++ b/src/engine/client.rs
@@ -52,6 +52,7 @@
             connect: CONNECT_TIMEOUT.min(limit),
             quiet: self.quiet,
             total: limit,
+            body: u64::MAX,
         };
         let fields = [("content-type", "application/json")];
         let stream = self
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,6 +1,8 @@
 //! The HTTP client, on `ureq`.
 
-use super::{agents::Agents, bounded::BoundedConnector, filter::Filter, resolver::IpResolver};
+use super::{
+    agents::Agents, bounded::BoundedConnector, budget::Budget, filter::Filter, resolver::IpResolver,
+};
 use std::{
     fmt,
     io::{self, BufRead, BufReader, Read},
@@ -21,6 +23,10 @@
 pub(super) const IDLE_AGE: Duration = Duration::from_secs(15);
 /// Default for the most bytes of an answer.
 const REPLY_MAX: u64 = 64 << 20;
+/// Default for the most bytes of all answers that are being read.
+const REPLIES_MAX: usize = 256 << 20;
+/// Most bytes of one read of an answer's body.
+const READ_SIZE: usize = 16 * 1024;
 
 /// Time limits of one call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +37,8 @@
     pub quiet: Duration,
     /// Longest time for the whole call.
     pub total: Duration,
+    /// Most bytes of the answer's body, if the client allows as many.
+    pub body: u64,
 }
 
 impl Timeouts {
@@ -41,8 +49,15 @@
             connect: total.min(Duration::from_secs(1)),
             quiet: total,
             total,
+            body: u64::MAX,
         }
     }
+
+    /// The same limits for a call whose answer has a body of `bytes` at most.
+    pub fn body(mut self, bytes: u64) -> Self {
+        self.body = bytes;
+        self
+    }
 }
 
 /// Sends requests; clones share connections and blocked addresses.
@@ -53,6 +68,8 @@
     filter: Arc<Filter>,
     /// Most bytes of an answer.
     reply: u64,
+    /// Memory for the answers that are being read.
+    replies: Budget,
 }
 
 /// A complete answer.
@@ -99,18 +116,20 @@
 }
 
 impl Client {
-    /// A client that takes 64 MiB of an answer at most.
+    /// A client that takes 64 MiB of an answer at most, and 256 MiB of all that it reads at once.
     pub fn new() -> Self {
-        Self::bounded(REPLY_MAX)
+        Self::bounded(REPLY_MAX, REPLIES_MAX)
     }
 
-    /// A client that takes `reply` bytes of an answer at most, head and framing included.
-    pub fn bounded(reply: u64) -> Self {
+    /// A client that takes `reply` bytes of an answer at most, head and framing included, and `replies`
+    /// bytes of the bodies that it reads at once.
+    pub fn bounded(reply: u64, replies: usize) -> Self {
         Self {
             pooled: Arc::new(Agents::new(reply)),
             fresh: agent(0, reply),
             filter: Arc::default(),
             reply,
+            replies: Budget::new(replies),
         }
     }
 
@@ -145,7 +164,8 @@
         let addr = self.filter.wait(url, limits.connect)?;
         // A URL without an IP address fails in `IpResolver`, before it connects.
         let agent = addr.map_or_else(|| self.fresh.clone(), |a| self.pooled.get(a));
-        self.read_whole(addr, run(&agent, method, url, fields, body, limits))
+        let response = run(&agent, method, url, fields, body, limits);
+        self.read_whole(addr, response, limits)
     }
 
     /// Like `call`, on a new connection: on a pooled one that the server just closed, it would be
@@ -162,7 +182,8 @@
         limits: Timeouts,
     ) -> Result<Reply, SendError> {
         let addr = self.filter.wait(url, limits.connect)?;
-        self.read_whole(addr, run(&self.fresh, method, url, fields, body, limits))
+        let response = run(&self.fresh, method, url, fields, body, limits);
+        self.read_whole(addr, response, limits)
     }
 
     /// Reads the complete answer of the server at `addr`.
@@ -170,8 +191,9 @@
         &self,
         addr: Option<SocketAddr>,
         response: Result<Response<Body>, SendError>,
+        limits: Timeouts,
     ) -> Result<Reply, SendError> {
-        let reply = read_reply(response?, self.reply)?;
+        let reply = read_reply(response?, self.reply.min(limits.body), &self.replies)?;
         self.filter.check_answer(addr)?;
         Ok(reply)
     }
@@ -316,22 +338,22 @@
         .build()
 }
 
-fn read_reply(response: Response<Body>, limit: u64) -> Result<Reply, SendError> {
+fn read_reply(response: Response<Body>, limit: u64, budget: &Budget) -> Result<Reply, SendError> {
     let status = response.status().as_u16();
     let fields = response
         .headers()
         .iter()
         .filter_map(|(n, v)| Some((n.as_str().to_string(), v.to_str().ok()?.to_string())))
         .collect();
-    let body = response
+    let reader = response
         .into_body()
         .into_with_config()
         .limit(limit)
-        .read_to_vec()
-        .map_err(|e| SendError {
-            sent: true,
-            text: e.to_string(),
-        })?;
+        .reader();
+    let body = read_body(reader, budget).map_err(|e| SendError {
+        sent: true,
+        text: e.to_string(),
+    })?;
     Ok(Reply {
         status,
         fields,
@@ -339,6 +361,24 @@
     })
 }
 
+fn read_body(mut reader: impl Read, budget: &Budget) -> io::Result<Vec<u8>> {
+    let mut share = budget.share();
+    let mut body = Vec::new();
+    let mut piece = [0; READ_SIZE];
+    loop {
+        match reader.read(&mut piece) {
+            Ok(0) => return Ok(body),
+            Ok(n) => body.extend_from_slice(&piece[..n]),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+            Err(e) => return Err(e),
+        }
+        if !share.grow(body.len()) {
+            let text = "this host's memory for answers is used up";
+            return Err(io::Error::new(io::ErrorKind::OutOfMemory, text));
+        }
+    }
+}
+
 /// Whether a byte of the request may have been sent; only a failed connect rules it out.
 fn may_be_sent(error: &ureq::Error) -> bool {
     match error {
--- a/src/http/input.rs
+++ b/src/http/input.rs
@@ -1,7 +1,7 @@
 //! Reads requests from a connection within the server's bounds.
 
 use super::{
-    Bounds,
+    Bounds, Share,
     request::{Framing, Head, HeadError, Request, parse_head},
 };
 use crate::error::{Fail, Kind};
@@ -50,7 +50,8 @@
     }
 
     /// Reads a request whose first byte has arrived.
-    pub(super) fn request(&mut self, bounds: &Bounds) -> Result<Request, Fail> {
+    /// `share` is that of its body.
+    pub(super) fn request(&mut self, bounds: &Bounds, share: &mut Share) -> Result<Request, Fail> {
         let end = Instant::now() + bounds.read;
         let head = self.head(bounds, end)?;
         if matches!(head.framing, Framing::Length(size) if size > bounds.body as u64) {
@@ -62,8 +63,8 @@
         }
         let body = match head.framing {
             Framing::None => Vec::new(),
-            Framing::Length(size) => self.sized(size as usize, end)?,
-            Framing::Chunked => self.chunks(bounds.body, end)?,
+            Framing::Length(size) => self.sized(size as usize, end, share)?,
+            Framing::Chunked => self.chunks(bounds.body, end, share)?,
         };
         Ok(Request { head, body })
     }
@@ -88,15 +89,18 @@
         }
     }
 
-    fn sized(&mut self, size: usize, end: Instant) -> Result<Vec<u8>, Fail> {
+    fn sized(&mut self, size: usize, end: Instant, share: &mut Share) -> Result<Vec<u8>, Fail> {
         while self.buffer.len() < size {
             self.fill_by(end)?;
+            if !share.grow(self.buffer.len().min(size)) {
+                return Err(no_memory());
+            }
         }
         let rest = self.buffer.split_off(size);
         Ok(std::mem::replace(&mut self.buffer, rest))
     }
 
-    fn chunks(&mut self, limit: usize, end: Instant) -> Result<Vec<u8>, Fail> {
+    fn chunks(&mut self, limit: usize, end: Instant, share: &mut Share) -> Result<Vec<u8>, Fail> {
         let (left, fail) = (Cell::new(0), Cell::new(None));
         let mut decoder = chunked_transfer::Decoder::new(Chunks {
             input: self,
@@ -111,6 +115,7 @@
             match decoder.read(&mut piece) {
                 Ok(0) => return Ok(body),
                 Ok(n) if body.len() + n > limit => return Err(body_too_large(limit)),
+                Ok(n) if !share.grow(body.len() + n) => return Err(no_memory()),
                 Ok(n) => body.extend_from_slice(&piece[..n]),
                 Err(e) => return Err(fail.take().unwrap_or_else(|| bad_chunk(&e.to_string()))),
             }
@@ -199,6 +204,11 @@
     Fail::new(Kind::TooLarge, text)
 }
 
+fn no_memory() -> Fail {
+    let text = "this host's memory for the bodies of requests is used up; use another host";
+    Fail::new(Kind::Overloaded, text)
+}
+
 fn head_too_large(limit: usize) -> Fail {
     let text = format!("the head is larger than {limit} bytes");
     Fail::new(Kind::HeadTooLarge, text)
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -6,6 +6,7 @@
 
 mod agents;
 mod bounded;
+mod budget;
 mod client;
 mod conns;
 mod exchange;
@@ -17,6 +18,7 @@
 mod service;
 mod watch;
 
+pub use budget::{Budget, Share};
 pub use client::{Client, Reply, SendError, Stream, Timeouts};
 pub use exchange::Exchange;
 pub use request::{Framing, Head, HeadError, Request, parse_head};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -2,6 +2,7 @@
 //! no thread; each request in progress has one.
 
 use super::{
+    budget::Budget,
     conns::Conns,
     exchange::Exchange,
     service::Service,
@@ -45,6 +46,8 @@
     pub head: usize,
     /// Most bytes in the body of a request.
     pub body: usize,
+    /// Most bytes in the bodies of all requests in progress.
+    pub bodies: usize,
     /// Longest time from a request's first byte to its last.
     pub read: Duration,
     /// Longest time that a connection may be idle between two requests.
@@ -59,6 +62,7 @@
             conns: 4096,
             head: 16 * 1024,
             body: 64 * 1024 * 1024,
+            bodies: 256 * 1024 * 1024,
             read: Duration::from_secs(20),
             idle: Duration::from_secs(60),
             write: Duration::from_secs(10),
@@ -77,6 +81,8 @@
 pub(super) struct Shared {
     pub(super) bounds: Bounds,
     pub(super) conns: Conns,
+    /// Memory for the bodies of requests.
+    pub(super) bodies: Budget,
     /// Whether each connection ends after its current request.
     pub(super) stopping: Arc<AtomicBool>,
     /// Whether new connections are refused.
@@ -99,6 +105,7 @@
         let shared = Arc::new(Shared {
             bounds,
             conns: Conns::new(bounds.conns),
+            bodies: Budget::new(bounds.bodies),
             stopping: Arc::default(),
             closed: AtomicBool::new(false),
             unbound: AtomicBool::new(false),
--- a/src/http/service.rs
+++ b/src/http/service.rs
@@ -119,7 +119,9 @@
         let mut input = Input::new(stream, timeout);
         while matches!(input.wait(bounds.read), Ok(true)) {
             self.shared.conns.set_busy(*id, true);
-            let request = match input.request(bounds) {
+            // Kept until the request is answered.
+            let mut share = self.shared.bodies.share();
+            let request = match input.request(bounds, &mut share) {
                 Ok(request) => request,
                 // The rest of the request cannot arrive after this host shut down the reading side.
                 Err(_) if read_closed.load(Ordering::Acquire) => {
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -161,11 +161,12 @@
         edges: impl FnOnce(&Client) -> Edges,
     ) -> io::Result<Arc<Self>> {
         let clock = SystemClock::new();
-        let client = Client::bounded(settings.reply);
+        let client = Client::bounded(settings.reply, settings.replies);
         let Edges { log, list, outside } = edges(&client);
         let proxy = outside.map(|o| o.handler);
         let peer_bounds = Bounds {
             idle: Duration::from_secs(60),
+            bodies: settings.bounds.bodies,
             ..Bounds::default()
         };
         let slot: Arc<OnceLock<Arc<Host>>> = Arc::default();
--- a/src/pass/mod.rs
+++ b/src/pass/mod.rs
@@ -4,6 +4,7 @@
 //! is routed and retried is decided here and in `route`.
 
 mod body;
+mod buffer;
 mod conn;
 mod events;
 mod fields;
@@ -12,12 +13,13 @@
 mod sink;
 
 pub use body::{Body, Framing};
+pub use buffer::{Answers, Buffer};
 pub use conn::{Closer, Conn, ReadError};
 pub use events::{Event, Events};
 pub use forward::{
     Access, Arrival, RETRY_ELSEWHERE, authenticate, authorize, forward, note_refusal, send_error,
 };
-pub use registry::{AttemptRegistry, Registration, Reservation};
+pub use registry::{AttemptRegistry, Registration};
 pub use sink::is_connection_field;
 
 use crate::wire::Name;
--- a/src/pass/registry.rs
+++ b/src/pass/registry.rs
@@ -1,47 +1,16 @@
 //! Running attempts of this host, so that other threads can end them, and memory for their answers.
 
-use super::Closer;
-use crate::wire::Name;
-use std::sync::{
-    Mutex, MutexGuard,
-    atomic::{AtomicUsize, Ordering},
-};
-
-/// Most bytes of answers that a host buffers at the same time.
-const RESERVED_MAX_BYTES: usize = 8 << 20;
-/// Bytes of an answer that may always be buffered.
-const RESERVED_FREE_BYTES: usize = 64 * 1024;
+use super::{Answers, Buffer, Closer};
+use crate::{http::Share, wire::Name};
+use std::sync::{Mutex, MutexGuard};
 
 /// The running attempts, by id.
 #[derive(Debug, Default)]
 pub struct AttemptRegistry {
     /// Sorted by id.
     list: Mutex<Vec<Attempt>>,
-    /// Bytes reserved for answers that are buffered until they are complete.
-    reserved: AtomicUsize,
-}
-
-/// Memory reserved for an answer that is buffered until it is complete; released on drop.
-#[derive(Debug)]
-pub struct Reservation<'a> {
-    all: &'a AtomicUsize,
-    size: usize,
-}
-
-impl Reservation<'_> {
-    /// Extends the reservation to `size` bytes; `false` if the host's limit is exceeded.
-    pub fn grow(&mut self, size: usize) -> bool {
-        let more = size.saturating_sub(self.size);
-        self.size += more;
-        let all = self.all.fetch_add(more, Ordering::Relaxed) + more;
-        size <= RESERVED_FREE_BYTES || all <= RESERVED_MAX_BYTES
-    }
-}
-
-impl Drop for Reservation<'_> {
-    fn drop(&mut self) {
-        self.all.fetch_sub(self.size, Ordering::Relaxed);
-    }
+    /// Memory for answers that are buffered until they are complete.
+    answers: Answers,
 }
 
 #[derive(Debug)]
@@ -77,12 +46,14 @@
         }
     }
 
-    /// Reservation for an answer, of zero bytes.
-    pub fn reserve(&self) -> Reservation<'_> {
-        Reservation {
-            all: &self.reserved,
-            size: 0,
-        }
+    /// Share of the memory for answers, of zero bytes.
+    pub fn share(&self) -> Share {
+        self.answers.share()
+    }
+
+    /// An empty buffer for an answer.
+    pub fn buffer(&self) -> Buffer {
+        self.answers.buffer()
     }
 
     /// Closes the connection of the attempt `id`; `false` if there is none.
--- a/src/pass/sink.rs
+++ b/src/pass/sink.rs
@@ -1,6 +1,6 @@
 //! Writes a server's answer to the caller as it arrives.
 
-use super::{Event, Head};
+use super::{Buffer, Event, Head};
 use crate::{
     clock::Time,
     error::{Fail, Kind, Res},
@@ -42,7 +42,7 @@
     due: Time,
     last: Option<Time>,
     /// Error answer of a server, passed back if no other server succeeds.
-    failed: Option<(Head, Vec<u8>)>,
+    failed: Option<(Head, Buffer)>,
     is_sent: bool,
     /// Whether the request has a slot and may run.
     has_slot: bool,
@@ -174,8 +174,8 @@
             .map_err(gone)
     }
 
-    fn failed(&mut self, head: &Head, body: &[u8]) {
-        self.failed = Some((head.clone(), body.to_vec()));
+    fn failed(&mut self, head: &Head, body: Buffer) {
+        self.failed = Some((head.clone(), body));
     }
 
     fn token(&mut self, _: u32, _: &str) -> Res<()> {
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -5,8 +5,9 @@
     clock::{Clock, Time},
     error::{Fail, Kind, Ran, Res},
     gate::Slot,
+    http::Share,
     kernel::Host,
-    pass::{Event, Head},
+    pass::{Buffer, Event, Head},
     quarantine::{self, Admission, Permit},
     retry::{self, Next},
     timeline::Happening,
@@ -60,7 +61,7 @@
     }
 
     /// Takes an answer with status 400 or above. From 500 on, another server may still succeed.
-    fn failed(&mut self, _head: &Head, _body: &[u8]) {}
+    fn failed(&mut self, _head: &Head, _body: Buffer) {}
 
     /// Called once, when the work has its first slot and before it is sent to a server.
     ///
@@ -89,6 +90,8 @@
     pub(super) sink: &'a mut S,
     /// Text of the tokens passed to the sink.
     pub(super) text: String,
+    /// Memory of the text of a batch item.
+    pub(super) text_share: Share,
     /// Position of the next token.
     pub(super) pos: u32,
     /// Software version that began the stream, once it has events.
@@ -144,6 +147,7 @@
         work,
         sink,
         text: String::new(),
+        text_share: host.passing.share(),
         pos: work.request.as_ref().map_or(0, |r| r.after),
         version: match &work.software {
             Software::Only(version) => Some(version.clone()),
@@ -286,7 +290,8 @@
 
     /// Drops the events so far, so that any server may begin again.
     pub(super) fn restart(&mut self) {
-        self.text.clear();
+        self.text = String::new();
+        self.text_share = self.host.passing.share();
         self.pos = self.work.request.as_ref().map_or(0, |r| r.after);
         self.version = None;
     }
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -265,6 +265,10 @@
                 self.restart();
                 return Err(broken("the text of the item is too long"));
             }
+            if !self.text_share.grow(self.text.len()) {
+                self.restart();
+                return Err(broken("the host's memory for complete answers is used up"));
+            }
         }
         self.sink
             .begin(head)
@@ -289,17 +293,16 @@
         head: &Head,
         entry: &Registration<'_>,
     ) -> Result<Answer, Abort> {
-        let mut body = Vec::new();
+        let mut body = self.host.passing.buffer();
         let (mut size, mut since) = (0, self.host.now());
-        let mut reservation = self.host.passing.reserve();
         loop {
-            let read = conn.read(POLL_INTERVAL, &mut body);
+            let read = conn.read(POLL_INTERVAL, body.bytes());
             match self.received(read, since, entry)? {
                 Some(false) => break,
                 Some(true) if body.len() > BODY_MAX_BYTES || conn.received() > TOTAL_MAX_BYTES => {
                     return Err(broken("the answer is longer than allowed"));
                 }
-                Some(true) if !reservation.grow(body.len()) => {
+                Some(true) if !body.fits() => {
                     return Err(broken("the host's memory for complete answers is used up"));
                 }
                 Some(true) => {
@@ -317,7 +320,7 @@
             self.sink.whole(head, &body).map_err(Abort::Final)?;
             return Ok(self.answer(slot));
         }
-        self.sink.failed(head, &body);
+        self.sink.failed(head, body);
         let text = format!("the backend server answered {}", head.status);
         match head.status {
             500.. => Err(Abort::Failed(Fail::new(Kind::ServerFailed, text))),
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -63,6 +63,8 @@
     pub waiting: usize,
     /// Maximum size in bytes of an answer of the platform or another host.
     pub reply: u64,
+    /// Maximum size in bytes of all such answers that are being read.
+    pub replies: usize,
     /// Silence of a backend server after which it counts as lost.
     pub quiet: Duration,
     /// Retries allowed per hundred requests.
@@ -88,10 +90,12 @@
     /// Every problem in the file.
     pub fn parse(file: &str, text: &str) -> Result<Self, Vec<Problem>> {
         let mut r = Reader::new(file, text);
+        let body = r.number("limits", "body_bytes", 1024, 1 << 30, 64 << 20) as usize;
         let bounds = Bounds {
             conns: r.number("limits", "connections", 1, 100_000, 4096) as usize,
             head: r.number("limits", "head_bytes", 1024, 1 << 20, 16 * 1024) as usize,
-            body: r.number("limits", "body_bytes", 1024, 1 << 30, 64 << 20) as usize,
+            body,
+            bodies: r.number("limits", "bodies_bytes", 1024, 1 << 36, 256 << 20) as usize,
             read: r.millis("limits", "read_ms", 100, 600_000, 20_000),
             idle: r.millis("limits", "idle_ms", 100, 3_600_000, 60_000),
             write: r.millis("limits", "write_ms", 100, 600_000, 10_000),
@@ -130,6 +134,7 @@
             retention: r.millis("batch", "retention_ms", 1_000, 31_536_000_000, 604_800_000),
             waiting: r.number("limits", "waiting", 1, 1_000_000, 2_000) as usize,
             reply: r.number("limits", "reply_bytes", 1 << 20, 1 << 30, 64 << 20),
+            replies: r.number("limits", "replies_bytes", 1 << 20, 1 << 36, 256 << 20) as usize,
             quiet: r.millis("limits", "quiet_ms", 100, 600_000, 5_000),
             retries: r.number("limits", "retries_percent", 0, 100, 10),
             own: r.number("limits", "own_percent", 0, 90, 0) as u32,
--- a/standin/src/port.rs
+++ b/standin/src/port.rs
@@ -10,6 +10,7 @@
     conns: 20_000,
     head: 64 * 1024,
     body: 256 * 1024 * 1024,
+    bodies: usize::MAX,
     read: Duration::from_secs(60),
     idle: Duration::from_secs(600),
     write: Duration::from_secs(60),
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -11,6 +11,7 @@
     connect: Duration::from_secs(30),
     quiet: Duration::from_secs(30),
     total: Duration::from_secs(30),
+    body: u64::MAX,
 };
 
 fn start(handler: impl Fn(&mut Exchange) + Send + Sync + 'static) -> (Server, String) {
--- a/tests/http_endless.rs
+++ b/tests/http_endless.rs
@@ -17,6 +17,7 @@
     connect: Duration::from_secs(30),
     quiet: Duration::from_secs(30),
     total: Duration::from_secs(30),
+    body: u64::MAX,
 };
 /// Most bytes that a call may take, including those in socket buffers.
 const MOST: usize = 16 << 20;
@@ -89,7 +90,7 @@
     for (kind, first, again) in KINDS {
         let (addr, sent) = start(first, again);
         let url = format!("http://{addr}/a");
-        let client = Client::bounded(REPLY);
+        let client = Client::bounded(REPLY, usize::MAX);
         let result = client.call("GET", &url, &[], &[], LIMITS);
         drop(client);
         let error = result.expect_err(kind);
@@ -104,7 +105,7 @@
     for (kind, first, again) in KINDS {
         let (addr, sent) = start(first, again);
         let url = format!("http://{addr}/a");
-        let stream = Client::bounded(REPLY).stream("GET", &url, &[], &[], LIMITS);
+        let stream = Client::bounded(REPLY, usize::MAX).stream("GET", &url, &[], &[], LIMITS);
         if let Ok(mut stream) = stream {
             stream.line(64).expect_err(kind);
         }
@@ -122,14 +123,14 @@
     });
     let server = server.expect("free port");
     let url = format!("http://{}/a", server.addr());
-    let client = Client::bounded(1000);
+    let client = Client::bounded(1000, usize::MAX);
     for _ in 0..5 {
         let reply = client
             .call("GET", &url, &[], &[], LIMITS)
             .expect("answered");
         assert_eq!(reply.body.len(), 700);
     }
-    let client = Client::bounded(700);
+    let client = Client::bounded(700, usize::MAX);
     let error = client.call("GET", &url, &[], &[], LIMITS);
     assert!(error.expect_err("too long").sent);
 }
--- a/tests/pass_endless.rs
+++ b/tests/pass_endless.rs
@@ -108,15 +108,15 @@
     let (registry, mut held) = (AttemptRegistry::default(), Vec::new());
     let mut size = 0;
     for _ in 0..64 {
-        let mut one = registry.reserve();
+        let mut one = registry.share();
         if one.grow(1 << 20) {
             size += 1 << 20;
         }
         held.push(one);
     }
     assert_eq!(size, 8 << 20);
-    assert!(registry.reserve().grow(1024));
-    assert!(!registry.reserve().grow(1 << 20));
+    assert!(registry.share().grow(1024));
+    assert!(!registry.share().grow(1 << 20));
     drop(held);
-    assert!(registry.reserve().grow(4 << 20));
+    assert!(registry.share().grow(4 << 20));
 }
