--- a/src/batch/passed.rs
+++ b/src/batch/passed.rs
@@ -7,7 +7,7 @@
     stream::Stream,
 };
 use crate::{
-    config::PassRoute,
+    config::{PassRoute, pass_route},
     error::{Fail, Kind, Res},
     job::ItemSpec,
     kernel::Host,
@@ -28,7 +28,7 @@
 /// `RateLimited` if it does not fit in the workspace's limit; `Unsettled` if it may be accepted
 /// later; after any other error no item of it ever runs.
 pub fn submit(host: &Host, route: &PassRoute, mut job: NewJob) -> Res<()> {
-    check_paths(route, &job.specs)?;
+    check_paths(host, &job.specs)?;
     if host.relay.is_cut_off(host) {
         let text = "neither the log nor another host can be reached; nothing was kept";
         return Err(Fail::new(Kind::LogDown, text).retry_after(RETRY_ELSEWHERE));
@@ -46,17 +46,18 @@
     })
 }
 
-/// Checks that the paths of the items are under their job's route; no server would run others.
-fn check_paths(route: &PassRoute, specs: &[Arc<ItemSpec>]) -> Res<()> {
+/// Checks that a route leads to the path of each item.
+fn check_paths(host: &Host, specs: &[Arc<ItemSpec>]) -> Res<()> {
     let requests = specs.iter().filter_map(|s| s.request.as_ref());
-    match requests
-        .into_iter()
-        .find(|r| !r.target.starts_with(&*route.prefix))
-    {
+    let is_unrouted = |r: &&Arc<Request>| {
+        let path = r.target.split('?').next().unwrap_or("");
+        host.config.view(|c| pass_route(c, &r.host, path).is_none())
+    };
+    match requests.into_iter().find(is_unrouted) {
         Some(request) => {
-            let (id, path, prefix) = (&request.id, &request.target, &route.prefix);
-            let text = format!("item {id:?}: {path:?} is not under the route's prefix {prefix:?}");
-            Err(Fail::field("path", text))
+            let (id, path, name) = (&request.id, &request.target, &request.host);
+            let text = format!("item {id:?}: no route leads to {path:?} of {name:?}");
+            Err(host.absent(Fail::field("path", text)))
         }
         None => Ok(()),
     }
