Limit what cold servers receive, over all hosts

Cause: a server that has just started crashes above cold_per_s requests per second. Nothing read cold_s, cold_per_s or cold_left_ms, so a server that came back got its full share at once.

Change: the gate of a server grants at most cold_per_s while the server is cold, with a bucket of 2 tokens (1 where a host stands in for the gate). Grants of the last second before the server turns cold are subtracted. Entries count once, by their offset. After a refused connection or a cut answer the server is suspected: its gate is told before the slot is released, before a host asks a gate that it has not told, and within 200 ms after the gate moved. Hosts without the store learn limits and entries from peers by a message of its own, as earlier builds refuse longer ones.

Without tell_moved suspicion_reaches_gate_that_moved fails.

--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -4,6 +4,10 @@
 //! is versioned by its source; a host never goes back to a lower version. Hosts that cannot reach the
 //! source fetch newer parts from their peers.
 
+mod operation;
+
+pub use operation::{Operation, SeenEntry};
+
 use crate::{
     clock::Time,
     config::{Key, Model, PassRoute, Server, State, Workspace},
@@ -29,7 +33,10 @@
 inventory::submit! {
     Plugin {
         name: "declared",
-        routes: &[Route { port: Port::Peer, method: "POST", path: "/peer/declared", handle: serve }],
+        routes: &[
+            Route { port: Port::Peer, method: "POST", path: "/peer/declared", handle: serve },
+            Route { port: Port::Peer, method: "POST", path: "/peer/declared/operation", handle: operation::serve },
+        ],
         tasks: &[Task { name: "declared", every: CHECK_INTERVAL, run: catch_up, waits: true, on: On::Outside }],
         stop: |_| {},
     }
@@ -89,6 +96,7 @@
 #[derive(Debug, Default)]
 pub struct Declared {
     known: Mutex<Known>,
+    operation: Mutex<Operation>,
 }
 
 #[derive(Debug, Default)]
@@ -126,6 +134,7 @@
             );
         }
         known.fleet_fresh = known.fleet_fresh.max(Some(fresh));
+        host.gates.cold.prune(&known.fleet.value);
         known.install_state(host);
     }
 
@@ -242,6 +251,8 @@
             fleet: known.fleet.at,
         };
         drop(known);
+        // Before the servers, so that none of them is known without what limits it.
+        operation::catch_up(host, peer);
         let began = host.now();
         match host.call(peer.addr, &call, CALL_TIMEOUT) {
             Ok(reply) => {
--- /dev/null
+++ b/src/declared/operation.rs
@@ -0,0 +1,131 @@
+//! Parts of the declared configuration that limit the use of servers: limits of cold servers and
+//! which servers are cold.
+//!
+//! They have a message of their own, as hosts of an earlier build refuse a longer answer to `DeclaredCall`.
+
+use super::{CALL_TIMEOUT, Declared, Versioned};
+use crate::{
+    clock::Time,
+    gate::{ColdEntry, ColdLimit},
+    http::Exchange,
+    kernel::{Call, Host, serve_call},
+    wire::{Name, Peer},
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    io,
+    sync::{Arc, MutexGuard},
+    time::Duration,
+};
+
+/// The newest of these parts that a host knows. Each has the version that its source gave it.
+#[derive(Debug, Default)]
+pub struct Operation {
+    cold: Versioned<Vec<ColdLimit>>,
+}
+
+/// What a server's entry says of its start, as a host saw it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenEntry {
+    /// Backend server.
+    pub server: Name,
+    /// Version of the entry.
+    pub version: u64,
+    /// Time for which the server stays cold.
+    pub left: Duration,
+    /// Greatest possible age of the entry.
+    pub age: Duration,
+}
+
+impl Declared {
+    /// Updates the limits of cold servers.
+    pub fn update_cold(&self, host: &Host, update: Versioned<Vec<ColdLimit>>) {
+        let mut operation = self.operation();
+        if operation.cold.update(Some(update)) {
+            host.gates.cold.set_limits(&operation.cold.value);
+        }
+    }
+
+    /// Records entries of servers that were read by `now`; repeated ones change nothing.
+    pub fn update_entries(&self, host: &Host, entries: &[SeenEntry], now: Time) {
+        for seen in entries {
+            let entry = ColdEntry {
+                version: seen.version,
+                written_after: now.saturating_sub(seen.age),
+                until: now.saturating_add(seen.left),
+            };
+            if !host.gates.cold.note_entry(&seen.server, entry) {
+                continue;
+            }
+            let server = host.config.view(|s| s.server(&seen.server).cloned());
+            if let Some(server) = server {
+                host.gates.queues.follow_cold(host, &server);
+            }
+        }
+    }
+
+    fn operation(&self) -> MutexGuard<'_, Operation> {
+        self.operation.lock().expect("declared operation")
+    }
+}
+
+/// Asks a peer for the parts that are newer than the given versions, and for the entries of servers.
+#[derive(Debug, Serialize, Deserialize)]
+struct OperationCall {
+    cold: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct OperationReply {
+    cold: Option<Versioned<Vec<ColdLimit>>>,
+    entries: Vec<SeenEntry>,
+}
+
+impl Call for OperationCall {
+    type Reply = OperationReply;
+    const PATH: &'static str = "/peer/declared/operation";
+}
+
+pub(super) fn serve(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
+    serve_call(host, exchange, |host, call: OperationCall| {
+        let now = host.now();
+        let seen = |(server, entry): (Name, ColdEntry)| SeenEntry {
+            server,
+            version: entry.version,
+            left: entry.until.saturating_sub(now),
+            age: now.saturating_sub(entry.written_after),
+        };
+        let entries = host.gates.cold.entries().into_iter().map(seen).collect();
+        let operation = host.declared.operation();
+        let cold = &operation.cold;
+        Ok(OperationReply {
+            cold: (cold.at > call.cold).then(|| cold.clone()),
+            entries,
+        })
+    })
+}
+
+/// Takes the newer parts of `peer`. One of an earlier build has none.
+pub(super) fn catch_up(host: &Host, peer: &Peer) {
+    let operation = host.declared.operation();
+    let call = OperationCall {
+        cold: operation.cold.at,
+    };
+    drop(operation);
+    let began = host.now();
+    match host.call(peer.addr, &call, CALL_TIMEOUT) {
+        Ok(reply) => {
+            if let Some(cold) = reply.cold {
+                host.declared.update_cold(host, cold);
+            }
+            // What is left of a cold period counts from the answer, and the age from the question.
+            let waited = host.now().saturating_sub(began);
+            let mut entries = reply.entries;
+            entries.iter_mut().for_each(|e| e.age += waited);
+            host.declared.update_entries(host, &entries, host.now());
+        }
+        Err(fail) => {
+            tracing::debug!(peer = &*peer.name, error = %fail, "peer_operation_not_read");
+        }
+    }
+}
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -170,3 +170,24 @@
     type Reply = ();
     const PATH: &'static str = "/peer/gate/limits";
 }
+
+/// A server that may have started again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectedStart {
+    /// Backend server.
+    pub server: Name,
+    /// Time since a connection to it was refused or an answer of it was cut.
+    pub age: Duration,
+}
+
+/// Tells the gates of servers that the servers may have started again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartNotice {
+    /// One entry for each server.
+    pub starts: Vec<SuspectedStart>,
+}
+
+impl Call for StartNotice {
+    type Reply = ();
+    const PATH: &'static str = "/peer/gate/starts";
+}
--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -4,8 +4,7 @@
     call::{Acquire, Admission, HeldSlot, ReleasedSlot},
     cancel::Preempted,
     gate_key,
-    hold::OWNERS,
-    limit::{self, Confirmation, Role},
+    limit::Confirmation,
     queue::Queue,
     slot::{Counts, Effects, SlotRequest, Verdict},
 };
@@ -57,9 +56,11 @@
     /// Calls on this host that wait for a slot.
     waiters: Vec<Waiter>,
     /// Since when this host has been in charge of the gate.
-    owned_since: Option<Time>,
+    pub(super) owned_since: Option<Time>,
     /// Whether the limit that the server stated is still in force.
-    confirmation: Confirmation,
+    pub(super) confirmation: Confirmation,
+    /// Host that last asked for a slot.
+    pub(super) last_holder: Name,
 }
 
 #[derive(Debug)]
@@ -79,43 +80,6 @@
         self.owned_since = is_owner.then(|| self.owned_since.unwrap_or(now));
     }
 
-    /// Throttles the grants to `holder` and others by what the server stated.
-    fn follow_limit(&mut self, host: &Host, server: &Server, holder: &Name) {
-        let now = host.now();
-        let mut stated = host.routes.limits.rate(server);
-        if let Some((rate, at)) = stated
-            && !self.confirmation.holds(at, now)
-        {
-            host.routes.limits.forget(&server.name);
-            stated = None;
-            let age_ms = now.saturating_sub(at).as_millis() as u64;
-            tracing::info!(server = &*server.name, rate, age_ms, "server_limit_lapsed");
-        }
-        let role = |rate| {
-            self.role(host, &server.name, holder, now)
-                .granted_rate(rate)
-        };
-        let rate = stated.map(|(rate, _)| role(rate));
-        self.queue.set_rate(rate, now);
-    }
-
-    /// By what right this host grants slots of `server` to `holder`.
-    fn role(&self, host: &Host, server: &str, holder: &Name, now: Time) -> Role {
-        let count = host.members.ring().peers().len();
-        if let Some(since) = self.owned_since {
-            return match now.saturating_sub(since) >= limit::handover(count) {
-                true => Role::Gate,
-                false => Role::Standby,
-            };
-        }
-        let owners = host.members.owners(&gate_key(server), OWNERS);
-        let is_alone = *holder == host.me.name && owners.iter().all(|o| o.name != host.me.name);
-        match is_alone {
-            true => Role::Alone(count),
-            false => Role::Standby,
-        }
-    }
-
     fn wake(&self, granted: &[Name]) {
         for waiter in self.waiters.iter().filter(|w| granted.contains(&w.id)) {
             waiter.wake.notify_all();
@@ -158,12 +122,13 @@
         let mut inner = gate.lock();
         inner.queue.resize(server.slots);
         inner.note_ownership(is_owner, host.now());
-        inner.follow_limit(host, &server, &call.request.holder);
+        inner.last_holder = request.holder.clone();
+        inner.follow_limit(host, &server, &request.holder);
         if request.class == Class::Batch {
             inner.queue.note_served(&request.workspace, call.served);
         }
         let (mut verdict, effects) = inner.queue.request(host.now(), request, weight, may_wait);
-        self.apply(&gate, &inner, effects);
+        self.apply(host, &gate, &inner, effects);
         if verdict == Verdict::Waiting {
             let end = host.now() + call.wait.min(WAIT_MAX);
             let Some(waited) = self.wait(host, &gate, inner, call, weight, end) else {
@@ -218,7 +183,7 @@
                 inner.queue.withdraw(&request.id);
                 (None, inner.queue.release(host.now(), &request.id, 0))
             };
-            self.apply(gate, &inner, effects);
+            self.apply(host, gate, &inner, effects);
         }
         inner.waiters.retain(|w| !Arc::ptr_eq(&w.wake, &wake));
         answer.map(|verdict| (inner, verdict))
@@ -248,7 +213,7 @@
                 }
                 false => inner.queue.release_unsent(host.now(), &slot.id),
             };
-            self.apply(&gate, &inner, effects);
+            self.apply(host, &gate, &inner, effects);
             inner.queue.counts()
         });
         counts.collect()
@@ -266,7 +231,7 @@
             let mut inner = gate.lock();
             inner.queue.renew(host.now(), &held.request, weight);
             let effects = inner.queue.serve(host.now());
-            self.apply(&gate, &inner, effects);
+            self.apply(host, &gate, &inner, effects);
             inner.queue.counts()
         });
         counts.collect()
@@ -309,10 +274,13 @@
         self.sync_gates(host);
         let all = self.gates.lock().expect("gates").clone();
         for gate in all {
+            if let Some(server) = accepting_server(host, &gate.server) {
+                self.follow_cold(host, &server);
+            }
             let mut inner = gate.lock();
             inner.queue.expire(host.now());
             let effects = inner.queue.serve(host.now());
-            self.apply(&gate, &inner, effects);
+            self.apply(host, &gate, &inner, effects);
         }
     }
 
@@ -335,8 +303,11 @@
     }
 
     /// Wakes the calls that got a slot and queues the preempted attempts for a cancel.
-    pub(super) fn apply(&self, gate: &Arc<Gate>, inner: &Inner, effects: Effects) {
+    pub(super) fn apply(&self, host: &Host, gate: &Arc<Gate>, inner: &Inner, effects: Effects) {
         inner.wake(&effects.granted);
+        if !effects.granted.is_empty() {
+            host.gates.cold.note_granted(&gate.server, host.now());
+        }
         if effects.preempted.is_empty() {
             return;
         }
@@ -348,7 +319,7 @@
         self.preempted.notify_all();
     }
 
-    fn find(&self, server: &str) -> Option<Arc<Gate>> {
+    pub(super) fn find(&self, server: &str) -> Option<Arc<Gate>> {
         let gates = self.gates.lock().expect("gates");
         let at = gates.binary_search_by(|g| (*g.server).cmp(server)).ok()?;
         Some(gates[at].clone())
@@ -366,6 +337,7 @@
                         waiters: Vec::new(),
                         owned_since: None,
                         confirmation: Confirmation::default(),
+                        last_holder: Name::default(),
                     }),
                 });
                 gates.insert(at, gate.clone());
--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -7,6 +7,7 @@
     limit,
     release::{Outbox, add},
     slot::{Counts, SlotRequest, Verdict},
+    suspect,
 };
 use crate::{
     clock::Time,
@@ -199,6 +200,7 @@
             acked: (gate.name.clone(), host.now()),
         };
         let (weight, batch) = (own.weight, request.class == Class::Batch);
+        host.gates.cold.note_granted(&call.server, host.now());
         let mut slots = self.slots.lock().expect("held slots");
         match slots.binary_search_by(|s| s.held.request.id.cmp(&request.id)) {
             Ok(at) => slots[at] = own,
@@ -278,12 +280,12 @@
         reply.unwrap_or_default().counts
     }
 
-    fn is_down(&self, name: &str, now: Time) -> bool {
+    pub(super) fn is_down(&self, name: &str, now: Time) -> bool {
         let down = self.down.lock().expect("down hosts");
         down.iter().any(|d| *d.name == *name && d.until > now)
     }
 
-    fn mark_down(&self, name: &Name, now: Time) {
+    pub(super) fn mark_down(&self, name: &Name, now: Time) {
         let mut down = self.down.lock().expect("down hosts");
         down.retain(|d| d.until > now && d.name != *name);
         down.push(Down {
@@ -298,5 +300,6 @@
         return Ok(host.gates.queues.acquire(host, call));
     }
     limit::tell(host, peer, &call.server)?;
+    suspect::tell(host, peer, &call.server)?;
     host.call(peer.addr, call, call.wait + CALL_TIMEOUT)
 }
--- a/src/gate/limit.rs
+++ b/src/gate/limit.rs
@@ -140,7 +140,8 @@
     Ok(())
 }
 
-fn is_answer(fail: Fail) -> Res<()> {
+/// Takes any answer of the peer, also that of a build that does not know the message.
+pub(super) fn is_answer(fail: Fail) -> Res<()> {
     match fail.kind {
         Kind::Unreachable | Kind::ServerLost => Err(fail),
         _ => Ok(()),
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -5,21 +5,28 @@
 
 mod call;
 mod cancel;
+mod cold;
+mod cold_servers;
 mod fleet;
+mod follow;
 mod grant;
 mod hold;
 mod leave;
 mod limit;
+mod pace;
 mod queue;
 mod release;
 mod slot;
+mod suspect;
 mod throttle;
 
 pub use call::{
     Acquire, Admission, CountsReply, HeldSlot, LimitNotice, Release, ReleaseUnsent, ReleasedSlot,
-    Renew, ServerLeaving, StatedLimit, Yield, Yielded,
+    Renew, ServerLeaving, StartNotice, StatedLimit, SuspectedStart, Yield, Yielded,
 };
 pub use cancel::cancel_at;
+pub use cold::{ColdEntry, ColdLimit, ColdState, GrantLimit};
+pub use cold_servers::{ColdServers, Untold};
 pub use fleet::{Served, Tags};
 pub use grant::{Queues, WAIT_MAX};
 pub use hold::{Held, Reply, Slot};
@@ -51,11 +58,13 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/yield", handle: end_attempt },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/leaves", handle: server_leaving },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/limits", handle: limits },
+            Route { port: Port::Peer, method: "POST", path: "/peer/gate/starts", handle: starts },
         ],
         tasks: &[
             Task { name: "gate-renew", every: RENEW_EVERY, run: |h| h.gates.held.renew(h), waits: true, on: On::All },
             Task { name: "gate-sweep", every: RENEW_EVERY, run: |h| h.gates.queues.sweep(h), waits: false, on: On::All },
             Task { name: "gate-served", every: REPORT_EVERY, run: fleet::report, waits: true, on: On::All },
+            Task { name: "gate-suspects", every: REPORT_EVERY, run: suspect::tell_moved, waits: true, on: On::Outside },
             Task { name: "gate-flush", every: Duration::ZERO, run: |h| h.gates.held.flush(h), waits: true, on: On::All },
             Task { name: "gate-cancel", every: Duration::ZERO, run: |h| h.gates.queues.cancel_evicted(h), waits: true, on: On::All },
         ],
@@ -66,7 +75,8 @@
 /// Time between two passes over the slots held and the slots granted.
 const RENEW_EVERY: Duration = Duration::from_millis(500);
 
-/// Time between two reports of the service of batch work.
+/// Time between two reports of the service of batch work, and between two checks whether gates that moved
+/// are to be told of suspicions.
 const REPORT_EVERY: Duration = Duration::from_millis(200);
 
 /// Both sides of admission on one host.
@@ -76,6 +86,8 @@
     pub queues: Queues,
     /// Slots held by this host.
     pub held: Held,
+    /// Servers that are cold or may be.
+    pub cold: ColdServers,
     /// Fair-share tags of the workspaces whose home is this host.
     totals: Mutex<FleetTags>,
 }
@@ -138,3 +150,10 @@
         Ok(())
     })
 }
+
+fn starts(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
+    serve_call(host, exchange, |host, call: StartNotice| {
+        suspect::receive(host, &call);
+        Ok(())
+    })
+}
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -1,8 +1,9 @@
 //! Admission queue of one backend server: slots held, requests waiting, and preemption.
 
 use super::{
+    cold::GrantLimit,
+    pace::Pace,
     slot::{Counts, Effects, SlotRequest, Verdict},
-    throttle::Throttle,
 };
 use crate::{
     clock::Time,
@@ -36,7 +37,7 @@
     batch: QueueTags,
     sequence: u64,
     /// Limits the grants, if the server limits the requests that it takes.
-    throttle: Option<Throttle>,
+    pace: Pace,
 }
 
 #[derive(Debug, Clone)]
@@ -79,7 +80,7 @@
             online: FairQueue::default(),
             batch: QueueTags::default(),
             sequence: 0,
-            throttle: None,
+            pace: Pace::default(),
         }
     }
 
@@ -90,20 +91,18 @@
 
     /// Grants at most `rate` slots per second from `now` on; any number with `None`.
     pub fn set_rate(&mut self, rate: Option<f64>, now: Time) {
-        match (&mut self.throttle, rate) {
-            (Some(throttle), Some(rate)) => throttle.set_rate(rate, now),
-            (throttle, rate) => *throttle = rate.map(|rate| Throttle::new(rate, now)),
-        }
+        self.set_limits(rate, None, now);
+    }
+
+    /// Limits the grants from `now` on to `stated` slots per second and by the limit of a cold server.
+    pub fn set_limits(&mut self, stated: Option<f64>, cold: Option<GrantLimit>, now: Time) {
+        self.pace.set(stated, cold, now);
     }
 
     /// Time until the throttle lets the next waiting request pass; `None` if it holds none back.
     pub fn throttle_delay(&self, now: Time) -> Option<Duration> {
         let next = &self.waiting[self.next()?].request;
-        let delay = self
-            .throttle
-            .as_ref()?
-            .delay(now, next.class == Class::Batch);
-        Some(delay).filter(|d| !d.is_zero())
+        self.pace.delay(now, next.class == Class::Batch)
     }
 
     /// Requests a slot, or repeats a waiting request. The call is idempotent by the id of the
@@ -173,8 +172,8 @@
     /// Releases a slot whose attempt was not sent to the server.
     pub fn release_unsent(&mut self, now: Time, id: &str) -> Effects {
         let is_charged = self.remove_held(id, 0).is_some_and(|h| h.is_charged);
-        if let Some(throttle) = self.throttle.as_mut().filter(|_| is_charged) {
-            throttle.refund();
+        if is_charged {
+            self.pace.refund();
         }
         self.serve(now)
     }
@@ -250,7 +249,7 @@
             }
             effects.granted.push(request.id.clone());
             let mut held = self.new_held(now, next.request, next.weight);
-            held.is_charged = self.throttle.is_some();
+            held.is_charged = self.pace.is_limited();
             let at = self.find(&held.request.id).unwrap_or_else(|at| at);
             self.held.insert(at, held);
         }
@@ -314,8 +313,7 @@
     }
 
     fn take_token(&mut self, now: Time, class: Class) -> bool {
-        let throttle = self.throttle.as_mut();
-        throttle.is_none_or(|t| t.take(now, class == Class::Batch))
+        self.pace.take(now, class == Class::Batch)
     }
 
     fn remove_held(&mut self, id: &str, used: u32) -> Option<Held> {
--- a/src/gate/release.rs
+++ b/src/gate/release.rs
@@ -4,7 +4,7 @@
     call::{Release, ReleaseUnsent, ReleasedSlot},
     gate_key,
     hold::Held,
-    limit,
+    limit, suspect,
 };
 use crate::{
     kernel::Host,
@@ -29,11 +29,13 @@
     releases: Vec<PendingRelease>,
     /// Servers that stated a limit.
     pub(super) limits: Vec<Name>,
+    /// Servers that may have started again.
+    pub(super) suspects: Vec<Name>,
 }
 
 impl Outbox {
     fn is_empty(&self) -> bool {
-        self.releases.is_empty() && self.limits.is_empty()
+        self.releases.is_empty() && self.limits.is_empty() && self.suspects.is_empty()
     }
 }
 
@@ -76,7 +78,7 @@
         self.queued.notify_all();
     }
 
-    /// Sends the queued messages: limits first, then releases, in one message of each kind for each gate.
+    /// Sends the queued messages: limits and suspicions first, then releases, in one message of each kind for each gate.
     pub(super) fn flush(&self, host: &Arc<Host>) {
         let outbox = self.outbox.lock().expect("outbox");
         let (mut outbox, _) = self
@@ -86,6 +88,7 @@
         let due = std::mem::take(&mut *outbox);
         drop(outbox);
         limit::tell_gates(host, &due.limits);
+        suspect::tell_gates(host, &due.suspects);
         let (mut sent, mut unsent) = (Vec::new(), Vec::new());
         for pending in due.releases {
             let owner = host.members.owner(&gate_key(&pending.slot.server));
@@ -123,8 +126,12 @@
 
 /// Whether the server may be throttled at its gate.
 fn is_limited(host: &Host, server: &Name) -> bool {
-    let limits = &host.routes.limits;
-    limits.stated(server, host.now()).is_some() || host.routes.throttled.has(server, host.now())
+    let (limits, now) = (&host.routes.limits, host.now());
+    let is_cold = || {
+        let server = host.config.view(|s| s.server(server).cloned());
+        server.is_some_and(|s| host.gates.cold.rate(&s, now).is_some())
+    };
+    limits.stated(server, now).is_some() || host.routes.throttled.has(server, now) || is_cold()
 }
 
 /// Adds an item to those that are sent to `peer`.
--- a/src/gate/throttle.rs
+++ b/src/gate/throttle.rs
@@ -13,6 +13,8 @@
 pub struct Throttle {
     /// Tokens per second.
     rate: f64,
+    /// Most tokens that the bucket holds.
+    burst: f64,
     tokens: f64,
     /// Time up to which the rate has been added.
     at: Time,
@@ -24,16 +26,28 @@
     pub fn new(rate: f64, now: Time) -> Self {
         Self {
             rate,
+            burst: burst_of(rate),
             tokens: 0.0,
             at: now,
         }
     }
 
-    /// Changes the rate from `now` on; tokens beyond the new burst are dropped.
+    /// Changes the rate from `now` on, and the burst to what it gains in a second.
     pub fn set_rate(&mut self, rate: f64, now: Time) {
+        self.set_limit(rate, burst_of(rate), now);
+    }
+
+    /// Changes the rate and the burst from `now` on; tokens beyond the new burst are dropped.
+    pub fn set_limit(&mut self, rate: f64, burst: f64, now: Time) {
+        self.advance(now);
+        (self.rate, self.burst) = (rate, burst);
+        self.tokens = self.tokens.min(burst);
+    }
+
+    /// Leaves at most `tokens` in the bucket; a negative number is a debt.
+    pub fn drain_to(&mut self, tokens: f64, now: Time) {
         self.advance(now);
-        self.rate = rate;
-        self.tokens = self.tokens.min(self.burst());
+        self.tokens = self.tokens.min(tokens);
     }
 
     /// Takes a token for an online request or for batch work, if there is one for it.
@@ -48,7 +62,7 @@
 
     /// Returns the token of a request that was not sent.
     pub fn refund(&mut self) {
-        self.tokens = (self.tokens + 1.0).min(self.burst());
+        self.tokens = (self.tokens + 1.0).min(self.burst);
     }
 
     /// Time until there is a token, zero if there is one.
@@ -65,18 +79,14 @@
     /// Tokens that there must be. Batch work takes one of a full bucket only, which would be lost otherwise.
     fn needed(&self, is_batch: bool) -> f64 {
         match is_batch {
-            true => self.burst(),
+            true => self.burst,
             false => 1.0,
         }
     }
 
-    fn burst(&self) -> f64 {
-        (self.rate * BURST.as_secs_f64()).max(1.0)
-    }
-
     fn tokens_at(&self, now: Time) -> f64 {
         let gain = self.rate * now.saturating_sub(self.at).as_secs_f64();
-        (self.tokens + gain).min(self.burst())
+        (self.tokens + gain).min(self.burst)
     }
 
     fn advance(&mut self, now: Time) {
@@ -84,3 +94,8 @@
         self.at = self.at.max(now);
     }
 }
+
+/// Tokens that a bucket of `rate` tokens per second holds, unless stated otherwise.
+pub(super) fn burst_of(rate: f64) -> f64 {
+    (rate * BURST.as_secs_f64()).max(1.0)
+}
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -50,6 +50,7 @@
     batch: Counter,
     unrelayed: Counter,
     throttled: Counter,
+    starts_suspected: Counter,
     first: Histogram,
     gap: Histogram,
     slot: Histogram,
@@ -89,6 +90,7 @@
             batch: Counter::default(),
             unrelayed: Counter::default(),
             throttled: Counter::default(),
+            starts_suspected: Counter::default(),
             first: histogram(),
             gap: histogram(),
             slot: histogram(),
@@ -116,6 +118,8 @@
         to.register("log_helpless", help, self.unrelayed.clone());
         let help = "Requests and batch items that the limit of a server held back";
         to.register("throttled", help, self.throttled.clone());
+        let help = "Connections refused and answers cut after which a server counts as cold";
+        to.register("starts_suspected", help, self.starts_suspected.clone());
         for (name, help, metric) in [
             ("first_piece", "Arrival to the first piece", &self.first),
             (
@@ -189,6 +193,11 @@
         self.throttled.inc();
     }
 
+    /// Counts a refused connection or a cut answer that has a server suspected of being cold.
+    pub fn start_suspected(&self) {
+        self.starts_suspected.inc();
+    }
+
     /// Number of calls to a lost log that no peer could relay, since the start.
     pub fn relay_failures(&self) -> u64 {
         self.unrelayed.get()
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -60,7 +60,7 @@
         };
         let fields = (dialect.fields)(&context);
         self.sent += 1;
-        self.lost_early = false;
+        (self.lost_early, self.left_silent) = (false, false);
         let result = match conn.send(&head_text(request, dialect, &fields), &request.body) {
             Ok(()) => self.read_answer(slot, attempt, request, dialect, &mut conn, &entry),
             Err(e) => Err(self.lost(&format!("the request was cut: {e}"), entry.is_ended())),
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -120,8 +120,11 @@
         self.learn(now, std::slice::from_ref(server), &[counts]);
         let server = host.config.view(|s| s.server(server).cloned());
         server.is_some_and(|server| {
+            let stated = self.limits.rate(&server).map(|(rate, _)| rate);
+            let cold = host.gates.cold.rate(&server, now);
+            let rate = stated.into_iter().chain(cold).reduce(f64::min);
             self.throttled
-                .note(&self.limits, &server, class, counts, is_queued, now)
+                .note_rate(rate, &server, class, counts, is_queued, now)
         })
     }
 
@@ -226,7 +229,8 @@
             .map(|s| {
                 let candidate = candidate(&stats, s, s.domain == host.me.domain, now);
                 let is_throttled = self.throttled.has(&s.name, now);
-                let is_limited = is_throttled || self.limits.rate(s).is_some();
+                let is_cold = host.gates.cold.rate(s, now).is_some();
+                let is_limited = is_throttled || is_cold || self.limits.rate(s).is_some();
                 candidate.with_limit(is_limited, is_throttled)
             })
             .collect();
--- a/src/route/throttled.rs
+++ b/src/route/throttled.rs
@@ -46,6 +46,19 @@
         now: Time,
     ) -> bool {
         let rate = limits.rate(server).map(|(rate, _)| rate);
+        self.note_rate(rate, server, class, counts, is_queued, now)
+    }
+
+    /// Like [`Self::note`], with the requests per second that the server takes as far as that is known.
+    pub fn note_rate(
+        &self,
+        rate: Option<f64>,
+        server: &Server,
+        class: Class,
+        counts: Counts,
+        is_queued: bool,
+        now: Time,
+    ) -> bool {
         let taken = match class {
             Class::Online => counts.online,
             // A new gate holds batch work back as well.
