Evacuate failure domains

Cause: operators ask with the key evacuate/ZONE of the topic keyed.op that nothing more is sent to the servers of a failure domain; the key was ignored.

Change: servers of an evacuated domain count as leaving, so that hosts do not choose them and gates refuse them to all hosts: online requests, retries, resumed streams and batch items. The list has the end of the topic as version, so that a host never goes back, also when it reads the newest records again. It is no part of the version of the configuration, by which hosts tell whether they are behind each other. Peers pass it on. At the end the servers are suspected of being cold.

--- a/src/declared/operation.rs
+++ b/src/declared/operation.rs
@@ -1,11 +1,12 @@
-//! Parts of the declared configuration that limit the use of servers: limits of cold servers and
-//! which servers are cold.
+//! Parts of the declared configuration that limit the use of servers: limits of cold servers, evacuated
+//! failure domains, and which servers are cold.
 //!
 //! They have a message of their own, as hosts of an earlier build refuse a longer answer to `DeclaredCall`.
 
 use super::{CALL_TIMEOUT, Declared, Versioned};
 use crate::{
     clock::Time,
+    config::Server,
     gate::{ColdEntry, ColdLimit},
     http::Exchange,
     kernel::{Call, Host, serve_call},
@@ -22,6 +23,8 @@
 #[derive(Debug, Default)]
 pub struct Operation {
     cold: Versioned<Vec<ColdLimit>>,
+    /// Sorted.
+    evacuated: Versioned<Vec<Name>>,
 }
 
 /// What a server's entry says of its start, as a host saw it.
@@ -46,6 +49,34 @@
         }
     }
 
+    /// Updates the evacuated failure domains. At the end of an evacuation the servers of the domain count
+    /// as suspected of being cold.
+    pub fn update_evacuated(&self, host: &Host, update: Versioned<Vec<Name>>) {
+        let mut operation = self.operation();
+        let before = operation.evacuated.value.clone();
+        if !operation.evacuated.update(Some(update)) {
+            return;
+        }
+        let (at, after) = (operation.evacuated.at, operation.evacuated.value.clone());
+        let servers = |domain: &Name| -> Vec<Server> {
+            host.config.view(|state| {
+                let all = state.servers.iter();
+                all.filter(|s| s.domain == *domain).cloned().collect()
+            })
+        };
+        for domain in before.iter().filter(|d| !after.contains(d)) {
+            let servers = servers(domain);
+            host.suspect_evacuated(&servers);
+            let count = servers.len();
+            tracing::info!(domain = &**domain, at, servers = count, "evacuation_ended");
+        }
+        host.routes.departures.set_evacuated(after.clone());
+        for domain in after.iter().filter(|d| !before.contains(d)) {
+            let count = servers(domain).len();
+            tracing::info!(domain = &**domain, at, servers = count, "evacuation_began");
+        }
+    }
+
     /// Records entries of servers that were read by `now`; repeated ones change nothing.
     pub fn update_entries(&self, host: &Host, entries: &[SeenEntry], now: Time) {
         for seen in entries {
@@ -73,11 +104,13 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct OperationCall {
     cold: u64,
+    evacuated: u64,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
 struct OperationReply {
     cold: Option<Versioned<Vec<ColdLimit>>>,
+    evacuated: Option<Versioned<Vec<Name>>>,
     entries: Vec<SeenEntry>,
 }
 
@@ -97,9 +130,10 @@
         };
         let entries = host.gates.cold.entries().into_iter().map(seen).collect();
         let operation = host.declared.operation();
-        let cold = &operation.cold;
+        let (cold, evacuated) = (&operation.cold, &operation.evacuated);
         Ok(OperationReply {
             cold: (cold.at > call.cold).then(|| cold.clone()),
+            evacuated: (evacuated.at > call.evacuated).then(|| evacuated.clone()),
             entries,
         })
     })
@@ -110,6 +144,7 @@
     let operation = host.declared.operation();
     let call = OperationCall {
         cold: operation.cold.at,
+        evacuated: operation.evacuated.at,
     };
     drop(operation);
     let began = host.now();
@@ -118,6 +153,9 @@
             if let Some(cold) = reply.cold {
                 host.declared.update_cold(host, cold);
             }
+            if let Some(evacuated) = reply.evacuated {
+                host.declared.update_evacuated(host, evacuated);
+            }
             // What is left of a cold period counts from the answer, and the age from the question.
             let waited = host.now().saturating_sub(began);
             let mut entries = reply.entries;
--- a/src/gate/cold_servers.rs
+++ b/src/gate/cold_servers.rs
@@ -27,6 +27,8 @@
     /// Hosts that know of the suspicion raised at `told_of`.
     told: Vec<Name>,
     told_of: Time,
+    /// When a suspicion was raised that every host raises by itself.
+    shared_at: Option<Time>,
 }
 
 /// A suspicion of which a host is to be told.
@@ -73,6 +75,15 @@
         known.limit(server).is_some() && known.tracked(&server.name).state.suspect(at)
     }
 
+    /// Like [`Self::suspect`], for a suspicion that every host raises by itself and tells nobody.
+    pub fn suspect_shared(&self, server: &Server, at: Time) -> bool {
+        let is_new = self.suspect(server, at);
+        if is_new {
+            self.lock().tracked(&server.name).shared_at = Some(at);
+        }
+        is_new
+    }
+
     /// Records that `server` was granted a request at `at`.
     pub fn note_granted(&self, server: &str, at: Time) {
         let mut known = self.lock();
@@ -105,7 +116,8 @@
             let tracked = &known.servers[known.find(&server.name).ok()?];
             let at = tracked.state.suspected(span, now)?;
             let is_told = tracked.told_of == at && tracked.told.contains(peer);
-            (!is_told).then(|| Untold {
+            let is_shared = tracked.shared_at == Some(at);
+            (!is_told && !is_shared).then(|| Untold {
                 server: server.name.clone(),
                 at,
             })
@@ -165,6 +177,7 @@
                 state: ColdState::default(),
                 told: Vec::new(),
                 told_of: Time::ZERO,
+                shared_at: None,
             };
             self.servers.insert(at, tracked);
             at
--- a/src/gate/suspect.rs
+++ b/src/gate/suspect.rs
@@ -29,6 +29,17 @@
         self.gates.queues.follow_cold(self, server);
         self.gates.held.queue_suspect(&server.name);
     }
+
+    /// Records at the end of an evacuation that the `servers` of the failure domain may have started
+    /// again. Each host does so by itself.
+    pub fn suspect_evacuated(&self, servers: &[Server]) {
+        let now = self.now();
+        for server in servers {
+            if self.gates.cold.suspect_shared(server, now) {
+                self.gates.queues.follow_cold(self, server);
+            }
+        }
+    }
 }
 
 impl Held {
--- a/src/route/leaving.rs
+++ b/src/route/leaving.rs
@@ -1,16 +1,19 @@
 //! Servers that announced in an answer that they are leaving, ahead of the configuration.
 //!
 //! A host that cannot read the configuration may have an old one, and a server may leave without an
-//! entry that says so. Its announcement holds until it restarts or is removed.
+//! entry that says so. Its announcement holds until it restarts or is removed. The servers of an
+//! evacuated failure domain count as leaving until the evacuation ends.
 
 use crate::{clock::Time, config::Server, wire::Name};
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 
 /// The servers that told this host that they are leaving.
 #[derive(Debug, Default)]
 pub struct Departures {
     /// Sorted by server name.
     known: Mutex<Vec<Departure>>,
+    /// Evacuated failure domains, sorted.
+    evacuated: RwLock<Arc<Vec<Name>>>,
 }
 
 #[derive(Debug, Clone)]
@@ -39,8 +42,23 @@
         true
     }
 
-    /// Whether the start of `server` in the configuration, or a later one, is leaving.
+    /// Replaces the list of evacuated failure domains (sorted).
+    pub fn set_evacuated(&self, domains: Arc<Vec<Name>>) {
+        *self.evacuated.write().expect("evacuated domains") = domains;
+    }
+
+    /// Whether the failure domain of `server` is evacuated.
+    pub fn is_evacuated(&self, server: &Server) -> bool {
+        let domains = self.evacuated.read().expect("evacuated domains");
+        domains.binary_search(&server.domain).is_ok()
+    }
+
+    /// Whether the start of `server` in the configuration, or a later one, is leaving, or its failure
+    /// domain is evacuated.
     pub fn has(&self, server: &Server) -> bool {
+        if self.is_evacuated(server) {
+            return true;
+        }
         let known = self.lock();
         let found = known.binary_search_by(|d| d.server.cmp(&server.name));
         found.is_ok_and(|at| known[at].start >= server.start)
