Lend rate tokens on while a stopping host cannot release its slots

Callers got "no host can lend" for seconds when a host stopped during an outage of the log: it stopped lending at once, its release did not reach the log, and nobody else could claim the slot.

The stop hook now waits, within the time that the stop takes anyway, until the log can be read, and lends meanwhile. The new test fails without the change ("no token was lent"); all tests of limit_hosts pass.

--- a/src/limit/task.rs
+++ b/src/limit/task.rs
@@ -7,6 +7,7 @@
     misplaced, slots,
 };
 use crate::{
+    clock::Clock,
     config::Workspace,
     http::Exchange,
     kernel::{Host, On, Plugin, Port, Route, Task, serve_call},
@@ -19,6 +20,8 @@
 const BATCH: usize = 256;
 /// Longest wait for the log to accept the release of slots.
 const RELEASE_LIMIT: Duration = Duration::from_secs(1);
+/// Pause between two checks of a stopping host for whether the log is back.
+const LOG_CHECK: Duration = Duration::from_millis(50);
 
 inventory::submit! {
     Plugin {
@@ -119,7 +122,20 @@
     lender.proof.note_unlisted(began);
 }
 
+/// Releases all slots at a planned stop. While the log is down no other host can take them over, so this host
+/// goes on lending for as long as the stop leaves time to write the release.
 fn release(host: &Arc<Host>) {
+    let last = host.now() + host.settings.linger.saturating_sub(RELEASE_LIMIT);
+    let mut was_down = false;
+    while host.homes.progress().is_down && host.now() < last {
+        was_down = true;
+        host.clock.sleep(LOG_CHECK);
+    }
+    if was_down {
+        let is_down = host.homes.progress().is_down;
+        let slots = host.limits.held();
+        tracing::info!(slots, is_down, "slots_released_late");
+    }
     let records = host
         .limits
         .lender
--- a/tests/limit_hosts.rs
+++ b/tests/limit_hosts.rs
@@ -296,3 +296,41 @@
         wait_whole(whole, 40);
     });
 }
+
+/// Guards against refusals for want of a lender while a host that holds slots stops during an outage of the log.
+#[test]
+fn slot_of_stopping_host_lends_while_log_is_down() {
+    let mut harness = Harness::start(Plan {
+        tune: |s| s.linger = Duration::from_secs(4),
+        ..plan(2)
+    });
+    wait_for_slots(&harness);
+    wait_for("a holder", || holder(&harness, 0).is_some());
+    let first = holder(&harness, 0).expect("a holder");
+    let other = 1 - first;
+    let workspace = plan(2).workspaces[1].clone();
+    check_rate_of(&workspace, &mut harness, |harness, whole| {
+        wait_whole(whole, 10);
+        (0..2).for_each(|i| harness.endpoint(i).faults().set(|f| f.down = true));
+        harness.list.faults().set(|f| f.down = true);
+        wait_for("an outage of the log", || {
+            harness.host(first).homes.progress().is_down
+        });
+        let caller = harness.caller_of(other, &workspace.name);
+        thread::scope(|scope| {
+            scope.spawn(|| harness.stop(first));
+            wait_for("the stop", || harness.host(first).is_stopping());
+            // More than the burst, which may be on loan since before the stop.
+            let goal = whole.load(Ordering::Relaxed) + 2 * workspace.burst as usize;
+            wait_for("tokens of the stopping host", || {
+                assert!(!harness.host(first).is_dead(), "no token was lent");
+                whole.load(Ordering::Relaxed) >= goal
+            });
+            (0..2).for_each(|i| harness.endpoint(i).faults().clear());
+            harness.list.faults().clear();
+        });
+        wait_for("tokens of the next holder", || {
+            matches!(caller.ask("hello", 1), Got::Whole(_))
+        });
+    });
+}
