Notice a silent log sooner at a planned stop

A follower learns of a silent log only when a read times out after seconds, so a host that stopped meanwhile closed its slots although the log could not take the release. The age of the last read decides now. The wait ends if the host is killed or holds no slot.

--- a/src/limit/task.rs
+++ b/src/limit/task.rs
@@ -22,6 +22,9 @@
 const RELEASE_LIMIT: Duration = Duration::from_secs(1);
 /// Pause between two checks of a stopping host for whether the log is back.
 const LOG_CHECK: Duration = Duration::from_millis(50);
+/// Age of the last read of the log from which it counts as unavailable at a planned stop. A read that finds no
+/// record returns after half a second, and one of a silent log fails seconds later.
+const LOG_AGE_MAX: Duration = Duration::from_millis(1500);
 
 inventory::submit! {
     Plugin {
@@ -122,19 +125,18 @@
     lender.proof.note_unlisted(began);
 }
 
-/// Releases all slots at a planned stop. While the log is down no other host can take them over, so this host
-/// goes on lending for as long as the stop leaves time to write the release.
+/// Releases all slots at a planned stop. While the log is unavailable no other host can take them over, so this
+/// host keeps lending for as long as the stop leaves time to write the release.
 fn release(host: &Arc<Host>) {
     let last = host.now() + host.settings.linger.saturating_sub(RELEASE_LIMIT);
-    let mut was_down = false;
-    while host.homes.progress().is_down && host.now() < last {
-        was_down = true;
+    let mut is_delayed = false;
+    while !can_release(host) && host.now() < last && !host.is_dead() && host.limits.held() > 0 {
+        is_delayed = true;
         host.clock.sleep(LOG_CHECK);
     }
-    if was_down {
-        let is_down = host.homes.progress().is_down;
-        let slots = host.limits.held();
-        tracing::info!(slots, is_down, "slots_released_late");
+    if is_delayed {
+        let (slots, is_log_back) = (host.limits.held(), can_release(host));
+        tracing::info!(slots, is_log_back, "slot_release_delayed");
     }
     let records = host
         .limits
@@ -151,3 +153,10 @@
         ticket.wait(end.saturating_sub(host.now()));
     }
 }
+
+/// Whether the log was read lately, so that it can be expected to take the release of slots.
+fn can_release(host: &Host) -> bool {
+    let progress = host.homes.progress();
+    let age = progress.caught_up.map(|at| host.now().saturating_sub(at));
+    !progress.is_down && age.is_some_and(|age| age < LOG_AGE_MAX)
+}
