Keep slots free of batch work for online requests

Cause: batch work fills every slot of a server, so that each online arrival at a full server preempts an attempt.

Change: with [gate] headroom_percent each gate learns how many slots online requests held or waited for (time at each number, decaying over 12 s) and starts batch work only beside those that cover this part of the time. Running attempts are not preempted for it. It shrinks once a job has waited for backlog_ms, and is gone at twice that. Online requests ask servers with a free slot first, because their arrival preempts nothing there. Off by default.

Under an endless backlog results are lost, because a policy that leaves no slot idle does the most work; with a backlog that is behind the headroom ends.

--- a/src/gate/cancel.rs
+++ b/src/gate/cancel.rs
@@ -62,7 +62,7 @@
             if is_ended {
                 let mut inner = gate.lock();
                 let effects = inner.queue.confirm(host.now(), id);
-                return self.apply(gate, &inner, effects);
+                return self.apply(host, gate, &mut inner, effects);
             }
             host.clock.sleep(pause);
             pause = CANCEL_RETRY_MAX.min(pause * 2);
--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -4,6 +4,7 @@
     call::{Acquire, Admission, HeldSlot, ReleasedSlot},
     cancel::Preempted,
     gate_key,
+    headroom::Headroom,
     hold::OWNERS,
     limit::{self, Confirmation, Role},
     queue::Queue,
@@ -60,6 +61,7 @@
     owned_since: Option<Time>,
     /// Whether the limit that the server stated is still in force.
     confirmation: Confirmation,
+    pub(super) headroom: Headroom,
 }
 
 #[derive(Debug)]
@@ -163,7 +165,7 @@
             inner.queue.note_served(&request.workspace, call.served);
         }
         let (mut verdict, effects) = inner.queue.request(host.now(), request, weight, may_wait);
-        self.apply(&gate, &inner, effects);
+        self.apply(host, &gate, &mut inner, effects);
         if verdict == Verdict::Waiting {
             let end = host.now() + call.wait.min(WAIT_MAX);
             let Some(waited) = self.wait(host, &gate, inner, call, weight, end) else {
@@ -171,6 +173,7 @@
             };
             (inner, verdict) = waited;
         }
+        inner.note_verdict(host, request, verdict);
         if verdict == Verdict::Granted && request.class == Class::Online {
             host.note_granted_stream(request, &server.software);
         }
@@ -218,7 +221,7 @@
                 inner.queue.withdraw(&request.id);
                 (None, inner.queue.release(host.now(), &request.id, 0))
             };
-            self.apply(gate, &inner, effects);
+            self.apply(host, gate, &mut inner, effects);
         }
         inner.waiters.retain(|w| !Arc::ptr_eq(&w.wake, &wake));
         answer.map(|verdict| (inner, verdict))
@@ -248,7 +251,7 @@
                 }
                 false => inner.queue.release_unsent(host.now(), &slot.id),
             };
-            self.apply(&gate, &inner, effects);
+            self.apply(host, &gate, &mut inner, effects);
             inner.queue.counts()
         });
         counts.collect()
@@ -266,7 +269,7 @@
             let mut inner = gate.lock();
             inner.queue.renew(host.now(), &held.request, weight);
             let effects = inner.queue.serve(host.now());
-            self.apply(&gate, &inner, effects);
+            self.apply(host, &gate, &mut inner, effects);
             inner.queue.counts()
         });
         counts.collect()
@@ -311,8 +314,9 @@
         for gate in all {
             let mut inner = gate.lock();
             inner.queue.expire(host.now());
+            inner.follow_headroom(host);
             let effects = inner.queue.serve(host.now());
-            self.apply(&gate, &inner, effects);
+            self.apply(host, &gate, &mut inner, effects);
         }
     }
 
@@ -335,7 +339,8 @@
     }
 
     /// Wakes the calls that got a slot and queues the preempted attempts for a cancel.
-    pub(super) fn apply(&self, gate: &Arc<Gate>, inner: &Inner, effects: Effects) {
+    pub(super) fn apply(&self, host: &Host, gate: &Arc<Gate>, inner: &mut Inner, effects: Effects) {
+        inner.follow_headroom(host);
         inner.wake(&effects.granted);
         if effects.preempted.is_empty() {
             return;
@@ -366,6 +371,7 @@
                         waiters: Vec::new(),
                         owned_since: None,
                         confirmation: Confirmation::default(),
+                        headroom: Headroom::default(),
                     }),
                 });
                 gates.insert(at, gate.clone());
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -7,6 +7,7 @@
 mod cancel;
 mod fleet;
 mod grant;
+mod headroom;
 mod hold;
 mod leave;
 mod limit;
@@ -22,6 +23,7 @@
 pub use cancel::cancel_at;
 pub use fleet::{Served, Tags};
 pub use grant::{Queues, WAIT_MAX};
+pub use headroom::{Headroom, Reserve};
 pub use hold::{Held, Reply, Slot};
 pub use limit::{Confirmation, PROBE_RATE, Role, SHARED_PART};
 pub use queue::{QUEUE_MAX, Queue, SETTLE, SLOT_LEASE, WAIT_LEASE};
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -37,6 +37,8 @@
     sequence: u64,
     /// Limits the grants, if the server limits the requests that it takes.
     throttle: Option<Throttle>,
+    /// Slots kept free of batch work, those that online requests hold included.
+    reserve: u32,
 }
 
 #[derive(Debug, Clone)]
@@ -80,6 +82,7 @@
             batch: QueueTags::default(),
             sequence: 0,
             throttle: None,
+            reserve: 0,
         }
     }
 
@@ -88,6 +91,11 @@
         self.slots = slots.max(1);
     }
 
+    /// Keeps `reserve` slots free of new batch work, those that online requests hold included.
+    pub fn set_reserve(&mut self, reserve: u32) {
+        self.reserve = reserve;
+    }
+
     /// Grants at most `rate` slots per second from `now` on; any number with `None`.
     pub fn set_rate(&mut self, rate: Option<f64>, now: Time) {
         match (&mut self.throttle, rate) {
@@ -308,7 +316,10 @@
                 online.count() < self.slots as usize
             }
             Class::Batch => {
-                self.active().count() < self.slots as usize && now >= self.started + SETTLE
+                let is_online = |h: &&Held| h.request.class == Class::Online;
+                let online = self.active().filter(is_online).count();
+                let unused = (self.reserve as usize).saturating_sub(online);
+                self.active().count() + unused < self.slots as usize && now >= self.started + SETTLE
             }
         }
     }
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -5,6 +5,7 @@
 mod choose;
 mod dispatch;
 mod ending;
+mod free;
 mod health;
 mod leaving;
 mod limits;
@@ -16,6 +17,7 @@
 
 pub use choose::{Candidate, SUBSET, fan_out, order, rendezvous, subset};
 pub use dispatch::{Sink, dispatch};
+pub use free::free_first;
 pub use health::{Availability, EJECTION_FAILURES, EJECTION_MAX, EJECTION_MIN, Health, Outcome};
 pub use leaving::Departures;
 pub use limits::{Noted, ServerLimits};
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -136,6 +136,16 @@
         (is_fresh && is_busy).then_some(c)
     }
 
+    /// Whether the recent counts of `server` leave no slot free.
+    pub(super) fn is_full(&self, server: &Name, now: Time) -> bool {
+        let stats = self.lock();
+        let at = stats.binary_search_by(|s| s.server.cmp(server));
+        at.is_ok_and(|at| {
+            let (c, at) = (stats[at].counts, stats[at].counts_at);
+            at.is_some_and(|at| at + COUNTS_AGE > now) && c.online + c.batch >= c.slots
+        })
+    }
+
     /// When a server that can run `work` takes it at the earliest, by the limits that they state; now, unless
     /// each of them was lately found to be at its limit.
     pub fn earliest_slot(
@@ -236,7 +246,7 @@
             all.retain(|c| c.availability != Availability::Probe);
         }
         let prefix = (!work.prompt.is_empty()).then(|| prefix_hash(&work.prompt));
-        let chosen = order(
+        let mut chosen = order(
             work.class,
             prefix,
             &all,
@@ -247,6 +257,9 @@
             let text = "every backend server with the model is ejected or leaving; retry later";
             return Err(Fail::new(Kind::Overloaded, text));
         }
+        if host.settings.reserve.percent > 0 {
+            self.prefer_free(work.class, &mut chosen, now);
+        }
         Ok(chosen)
     }
 
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,7 +4,7 @@
 
 pub use reader::{Problem, Reader};
 
-use crate::{http::Bounds, limit::Tolerance, wire::Name};
+use crate::{gate::Reserve, http::Bounds, limit::Tolerance, wire::Name};
 use std::{net::SocketAddr, time::Duration};
 
 /// Settings that the daemon reads at its start.
@@ -75,6 +75,8 @@
     pub proof: Duration,
     /// How far the requests of a window may exceed a rate; a new start begins with half of it.
     pub tolerance: Tolerance,
+    /// Slots that gates keep free of batch work for online requests.
+    pub reserve: Reserve,
     /// Maximum model loads that the whole fleet begins per minute.
     pub loads: u64,
     /// Maximum time for an order to a backend server to take effect.
@@ -144,6 +146,10 @@
                 excess: r.decimal("limits", "rate_excess", 0.0, 1.0, 0.0),
                 slack: r.number("limits", "rate_slack", 0, 100_000, 0) as u32,
             },
+            reserve: Reserve {
+                percent: r.number("gate", "headroom_percent", 0, 100, 0) as u32,
+                backlog: r.millis("gate", "backlog_ms", 100, 3_600_000, 6_000),
+            },
             loads: r.number("orders", "loads_per_minute", 1, 1_000_000, 600),
             load: r.millis("orders", "load_ms", 100, 86_400_000, 600_000),
             events: r.number("timeline", "events", 100, 10_000_000, 20_000) as usize,
--- /dev/null
+++ b/tests/gate_headroom.rs
@@ -0,0 +1,138 @@
+//! Slots that a gate keeps free of batch work, under online traffic of peaks and troughs.
+
+mod gate_model;
+
+use gate_model::{Backlog, LEARNED, Policy, SLOTS, play, play_rate, request};
+use gooseberrytack::{
+    clock::Time,
+    gate::{Effects, Headroom, Queue, Reserve, SETTLE, Verdict},
+    route::free_first,
+    wire::{Class, Name},
+};
+use std::time::Duration;
+
+// Guards against a reserve that is worse than a fixed one that suits this load.
+#[test]
+fn reserve_one_gate_endless_backlog() {
+    let [off, fixed, learned] = [Policy::Fixed(0), Policy::Fixed(5), LEARNED]
+        .map(|policy| play(1, policy, false, Backlog::Endless, 600));
+    assert!(off.per_result() > 3.0, "{off:?}");
+    assert!(learned.per_result() < 0.6 * off.per_result(), "{learned:?}");
+    assert!(
+        learned.per_result() < 1.1 * fixed.per_result(),
+        "{learned:?}"
+    );
+    assert!(learned.results * 100 >= fixed.results * 95, "{learned:?}");
+    assert!(learned.late == 0 && learned.waited <= off.waited);
+}
+
+// Guards against a reserve that does not follow the load: a fixed one is too large at few online requests.
+#[test]
+fn reserve_few_online_more_results_than_fixed() {
+    let [fixed, learned] = [Policy::Fixed(4), LEARNED]
+        .map(|policy| play_rate(12, policy, true, Backlog::Endless, 120, 1.0));
+    assert!(learned.per_result() < 1.2, "{learned:?}");
+    assert!(learned.results * 10 > fixed.results * 11, "{learned:?}");
+}
+
+// Guards against preemptions while other servers have a free slot.
+#[test]
+fn reserve_fleet_few_preempted_none_late() {
+    for backlog in [Backlog::Jobs(10, 0.43), Backlog::Jobs(100, 0.43)] {
+        let off = play(12, Policy::Fixed(0), false, backlog, 120);
+        play(12, Policy::Fixed(4), true, backlog, 120);
+        let learned = play(12, LEARNED, true, backlog, 120);
+        assert!(learned.per_result() < 1.2, "{learned:?}");
+        assert!(learned.results * 100 >= off.results * 98, "{learned:?}");
+        assert!(learned.late <= off.late && learned.waited <= off.waited);
+    }
+    for (policy, free_first) in [(Policy::Fixed(0), false), (Policy::Fixed(0), true)] {
+        play(12, policy, free_first, Backlog::Endless, 120);
+    }
+    let endless = play(12, LEARNED, true, Backlog::Endless, 120);
+    assert!(endless.per_result() < 1.2, "{endless:?}");
+}
+
+// Guards against a reserve that makes jobs late when the servers cannot serve all of them in time.
+#[test]
+fn reserve_backlog_behind_costs_few_results() {
+    let jobs = Backlog::Jobs(100, 0.43);
+    let off = play(1, Policy::Fixed(0), false, jobs, 230);
+    let never = Policy::Learned(Reserve {
+        percent: 97,
+        backlog: Duration::from_secs(3600),
+    });
+    play(1, never, false, jobs, 230);
+    let learned = play(1, LEARNED, false, jobs, 230);
+    assert!(learned.late <= off.late + off.results / 10, "{learned:?}");
+}
+
+#[test]
+fn reserve_online_learned_then_forgotten() {
+    let rule = Reserve {
+        percent: 95,
+        backlog: Duration::from_secs(6),
+    };
+    let mut headroom = Headroom::default();
+    assert_eq!(headroom.reserve(SETTLE, SLOTS, rule), 0);
+    let mut now = SETTLE;
+    // Peaks and troughs: the peak is still known at the end of a trough.
+    for (online, ms) in [(3, 2400), (1, 3400), (3, 2400), (1, 3400)] {
+        headroom.note_online(now, online);
+        now += Duration::from_millis(ms);
+    }
+    headroom.note_online(now, 1);
+    assert_eq!(headroom.reserve(now, SLOTS, rule), 3);
+    // One slot remains for batch work.
+    assert_eq!(headroom.reserve(now, 2, rule), 1);
+    headroom.note_online(now + Duration::from_secs(40), 1);
+    assert_eq!(headroom.reserve(now, SLOTS, rule), 1);
+}
+
+#[test]
+fn reserve_job_waits_shrinks_until_served() {
+    let rule = Reserve {
+        percent: 95,
+        backlog: Duration::from_secs(6),
+    };
+    let mut headroom = Headroom::default();
+    headroom.note_online(SETTLE, 4);
+    let mut reserves = Vec::new();
+    for second in 0..=12 {
+        let now = SETTLE + Duration::from_secs(second);
+        headroom.note_online(now, 4);
+        headroom.note_denied(now, &"w".into(), 7);
+        reserves.push(headroom.reserve(now, SLOTS, rule));
+    }
+    assert_eq!(reserves, [0, 4, 4, 4, 4, 4, 4, 3, 3, 2, 1, 1, 0]);
+    let now = SETTLE + Duration::from_secs(14);
+    assert_eq!(headroom.reserve(now, SLOTS, rule), 4);
+}
+
+#[test]
+fn set_reserve_running_batch_not_preempted() {
+    let mut queue = Queue::new(2, Time::ZERO);
+    let ask = |queue: &mut Queue, id: &str, class| {
+        let request = request(&id.into(), class, 0);
+        queue.request(SETTLE, &request, 1, true)
+    };
+    ask(&mut queue, "b1", Class::Batch);
+    ask(&mut queue, "b2", Class::Batch);
+    queue.set_reserve(1);
+    assert_eq!(queue.serve(SETTLE), Effects::default());
+    queue.release(SETTLE, "b1", 1);
+    // The free slot is kept for online requests.
+    assert_eq!(ask(&mut queue, "b3", Class::Batch).0, Verdict::Waiting);
+    let (verdict, effects) = ask(&mut queue, "o", Class::Online);
+    assert_eq!(verdict, Verdict::Granted);
+    assert!(effects.preempted.is_empty());
+    // What an online request frees is kept as well.
+    assert_eq!(queue.release(SETTLE, "o", 1), Effects::default());
+}
+
+#[test]
+fn free_first_full_servers_last_in_order() {
+    let mut servers: Vec<Name> = ["a", "b", "c", "d"].map(Name::from).to_vec();
+    free_first(&mut servers, |server| matches!(&**server, "a" | "c"));
+    assert_eq!(servers.iter().map(|s| &**s).collect::<String>(), "bdac");
+}
--- a/tests/settings_parse.rs
+++ b/tests/settings_parse.rs
@@ -95,3 +95,18 @@
     let found = problems("[host]\nname = h1\n[listen\n");
     assert!(found.iter().any(|l| l.contains("line=3")), "{found:#?}");
 }
+
+#[test]
+fn parse_headroom_off_unless_set() {
+    let settings = Settings::parse("f.ini", GOOD).expect("valid");
+    assert_eq!(settings.reserve.percent, 0);
+    let text = format!("{GOOD}\n[gate]\nheadroom_percent = 97\nbacklog_ms = 5000\n");
+    let settings = Settings::parse("f.ini", &text).expect("valid");
+    let backlog = std::time::Duration::from_secs(5);
+    assert_eq!(
+        (settings.reserve.percent, settings.reserve.backlog),
+        (97, backlog)
+    );
+    let found = problems(&text.replace("97", "101"));
+    assert!(found[0].contains("key=headroom_percent value=\"101\""));
+}
