Keep the slot of a request that its server refused as still full

Cause: a holder closes the connection of a preempted attempt and its slot goes to the online request at once, but the server notices the close only at its next step. It refuses the online request; its slot goes back to the gate, which grants it to batch work that is refused as well, 20 ms apart for each that waits, and the online request preempts an attempt of another server, where the same happens.

Change: each refusal is logged as server_refused (counts at the grant, fields and body of the answer, cause by the counts) and counted by cause. With [gate] refused_ms a request refused while the gate has no slot left keeps its slot and is sent there again, after 10 ms (online) or 25 ms (batch), for this time. Not at a server that states a limit, which counts each. Off by default.

--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -74,6 +74,8 @@
     pub server: Name,
     /// Id of the attempt.
     pub id: Name,
+    /// Counts of the server after the grant.
+    pub counts: Counts,
     /// Tokens used so far.
     pub used: u32,
     /// Whether the attempt may have been sent.
@@ -169,7 +171,7 @@
             self.shares().advance(virtual_time);
         }
         match verdict {
-            Verdict::Granted => Reply::Slot(self.keep(host, call, gate), counts),
+            Verdict::Granted => Reply::Slot(self.keep(host, call, gate, counts), counts),
             Verdict::Waiting => Reply::Waiting(counts),
             Verdict::Busy => Reply::Busy(counts),
         }
@@ -187,7 +189,7 @@
         }
     }
 
-    fn keep(&self, host: &Arc<Host>, call: &Acquire, gate: &Peer) -> Slot {
+    fn keep(&self, host: &Arc<Host>, call: &Acquire, gate: &Peer, counts: Counts) -> Slot {
         let request = &call.request;
         let own = GrantedSlot {
             held: HeldSlot {
@@ -214,6 +216,7 @@
             host: host.clone(),
             server: call.server.clone(),
             id: request.id.clone(),
+            counts,
             used: 0,
             is_sent: false,
         }
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -29,6 +29,11 @@
     code: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct SegmentLabel {
     segment: String,
@@ -50,6 +55,7 @@
     batch: Counter,
     unrelayed: Counter,
     throttled: Counter,
+    server_refused: Family<CauseLabel, Counter>,
     first: Histogram,
     gap: Histogram,
     slot: Histogram,
@@ -89,6 +95,7 @@
             batch: Counter::default(),
             unrelayed: Counter::default(),
             throttled: Counter::default(),
+            server_refused: Family::default(),
             first: histogram(),
             gap: histogram(),
             slot: histogram(),
@@ -116,6 +123,8 @@
         to.register("log_helpless", help, self.unrelayed.clone());
         let help = "Requests and batch items that the limit of a server held back";
         to.register("throttled", help, self.throttled.clone());
+        let help = "Requests that a server refused without running them";
+        to.register("server_refused", help, self.server_refused.clone());
         for (name, help, metric) in [
             ("first_piece", "Arrival to the first piece", &self.first),
             (
@@ -184,6 +193,20 @@
         self.unrelayed.inc();
     }
 
+    /// Counts a request that a server refused without running it, by `cause`.
+    pub fn server_refused(&self, cause: &'static str) {
+        self.server_refused
+            .get_or_create(&CauseLabel { cause })
+            .inc();
+    }
+
+    /// Number of requests that servers refused without running them for `cause`, since the start.
+    pub fn server_refusals(&self, cause: &'static str) -> u64 {
+        self.server_refused
+            .get_or_create(&CauseLabel { cause })
+            .get()
+    }
+
     /// Counts a request or a batch item that the limit of a server held back.
     pub fn throttled(&self) {
         self.throttled.inc();
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -78,7 +78,7 @@
         let from = self.pos;
         slot.is_sent = true;
         let result = match &self.work.request {
-            Some(request) => self.forward(&slot, &mut attempt, request),
+            Some(request) => self.forward_in_slot(&slot, &mut attempt, request),
             None => self.stream(&slot, &mut attempt),
         };
         slot.used = self.pos - from;
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -1,6 +1,6 @@
 //! Runs one piece of work on the backend servers, with retries.
 
-use super::{attempt::Abort, wait::Places};
+use super::{attempt::Abort, refused::RefusalCause, wait::Places};
 use crate::{
     clock::{Clock, Time},
     error::{Fail, Kind, Ran, Res},
@@ -115,6 +115,8 @@
     pub(super) lost_early: bool,
     /// Whether a server's limit held the work back.
     pub(super) was_throttled: bool,
+    /// Why a server last refused the work without running it.
+    pub(super) refused: Option<RefusalCause>,
     /// Failed attempts that count against the retries.
     failures: u32,
     /// Position from which no server has run the work, and since when.
@@ -163,6 +165,7 @@
         permit: None,
         lost_early: false,
         was_throttled: false,
+        refused: None,
         failures: 0,
         not_run: None,
         tried: Vec::new(),
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -136,7 +136,7 @@
         match verdict {
             Verdict::Ours => {}
             Verdict::NotRun => {
-                self.sent -= 1;
+                self.note_refused(slot, attempt.start, &head, conn);
                 let text = format!("the server answered {} without running it", head.status);
                 return Err(Abort::Failed(Fail::new(Kind::ServerFull, text)));
             }
--- /dev/null
+++ b/src/route/refused.rs
@@ -0,0 +1,145 @@
+//! Requests that a server refused without running them although its gate granted a slot.
+
+use super::{
+    attempt::{Abort, Attempt},
+    dispatch::{Run, Sink},
+};
+use crate::{
+    clock::Clock,
+    error::{Fail, Kind},
+    gate::{Counts, Slot},
+    pass::{Conn, Head, Request},
+    wire::{Answer, Class},
+};
+use std::time::Duration;
+
+/// Status of a server that is not the one that was meant.
+const OTHER_SERVER_STATUS: u16 = 421;
+/// Most characters of the fields and of the body of a refusal that are logged.
+const FIELDS_MAX: usize = 300;
+const BODY_MAX: usize = 120;
+/// Wait for the body of a refusal, which usually arrives with its head.
+const BODY_WAIT: Duration = Duration::from_millis(1);
+
+/// Pause before an online request is sent again in its slot: less than the pause before another server is tried.
+const ONLINE_PAUSE: Duration = Duration::from_millis(10);
+/// Pause before a batch item is sent again in its slot: a step of a server, at whose end it notices closed
+/// connections.
+const BATCH_PAUSE: Duration = Duration::from_millis(25);
+
+/// Why a server refused a request without running it, as far as the counts of its gate tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// Another server answered at the address.
+    OtherServer,
+    /// The slot was that of a preempted attempt that had not ended at the grant.
+    Preempting,
+    /// All slots were granted: an attempt whose connection was closed may still run, or another host
+    /// granted slots as well.
+    Filled,
+    /// The gate had slots left, so that the reason is none of slots.
+    Other,
+}
+
+impl RefusalCause {
+    /// The cause of a refusal with `status` of a request that was granted a slot, with `counts` after that.
+    pub fn of(status: u16, counts: Counts) -> Self {
+        let held = counts.online.saturating_add(counts.batch);
+        match status {
+            OTHER_SERVER_STATUS => Self::OtherServer,
+            _ if held > counts.slots => Self::Preempting,
+            _ if held == counts.slots => Self::Filled,
+            _ => Self::Other,
+        }
+    }
+
+    /// Whether the server is likely to run an attempt of which the gate knows that it ended.
+    pub fn is_overlap(self) -> bool {
+        matches!(self, Self::Preempting | Self::Filled)
+    }
+
+    /// Name in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::OtherServer => "other_server",
+            Self::Preempting => "preempting",
+            Self::Filled => "filled",
+            Self::Other => "other",
+        }
+    }
+}
+
+impl<S: Sink> Run<'_, S> {
+    /// Sends `request` to the slot's server, and again in the same slot while the server refuses it because it
+    /// has yet to notice that an earlier attempt was ended. To give the slot back would have the gate grant
+    /// it to others, which the server refuses as well, and preempt an attempt of another server.
+    pub(super) fn forward_in_slot(
+        &mut self,
+        slot: &Slot,
+        attempt: &mut Attempt,
+        request: &Request,
+    ) -> Result<Answer, Abort> {
+        let host = self.host;
+        let end = host.now() + host.settings.refused;
+        let pause = match self.work.class {
+            Class::Online => ONLINE_PAUSE,
+            Class::Batch => BATCH_PAUSE,
+        };
+        loop {
+            let result = self.forward(slot, attempt, request);
+            let cause = match &result {
+                Err(Abort::Failed(Fail {
+                    kind: Kind::ServerFull,
+                    ..
+                })) => self.refused,
+                _ => None,
+            };
+            // Each request counts toward the limit that a server states.
+            let is_limited = host
+                .routes
+                .limits
+                .stated(&slot.server, host.now())
+                .is_some();
+            let may_resend = cause.is_some_and(RefusalCause::is_overlap) && !is_limited;
+            if !may_resend || host.now() + pause > end.min(self.work.deadline) || host.is_stopping()
+            {
+                return result;
+            }
+            self.sink.check().map_err(Abort::Final)?;
+            host.clock.sleep(pause);
+        }
+    }
+
+    /// Logs and counts a refusal; the request was not run.
+    pub(super) fn note_refused(&mut self, slot: &Slot, start: u64, head: &Head, conn: &mut Conn) {
+        let cause = RefusalCause::of(head.status, slot.counts);
+        self.sent -= 1;
+        self.refused = Some(cause);
+        self.host.meters.server_refused(cause.name());
+        let mut body = Vec::new();
+        // The reason in the body is missing if it takes longer.
+        let _ = conn.read(BODY_WAIT, &mut body);
+        let body: String = String::from_utf8_lossy(&body)
+            .chars()
+            .take(BODY_MAX)
+            .collect();
+        let fields = head.fields.iter().map(|(n, v)| format!("{n}={v}"));
+        let fields = fields.collect::<Vec<_>>().join(" ");
+        let fields: String = fields.chars().take(FIELDS_MAX).collect();
+        let Counts { online, batch, .. } = slot.counts;
+        tracing::info!(
+            id = &*slot.id,
+            server = &*slot.server,
+            start,
+            class = ?self.work.class,
+            status = head.status,
+            cause = cause.name(),
+            online,
+            batch,
+            slots = slot.counts.slots,
+            fields,
+            body,
+            "server_refused"
+        );
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -77,6 +77,9 @@
     pub tolerance: Tolerance,
     /// Slots that gates keep free of batch work for online requests.
     pub reserve: Reserve,
+    /// Time for which a request that a server refused because it still ran an earlier attempt keeps its slot
+    /// and is sent there again.
+    pub refused: Duration,
     /// Maximum model loads that the whole fleet begins per minute.
     pub loads: u64,
     /// Maximum time for an order to a backend server to take effect.
@@ -150,6 +153,7 @@
                 percent: r.number("gate", "headroom_percent", 0, 100, 0) as u32,
                 backlog: r.millis("gate", "backlog_ms", 100, 3_600_000, 6_000),
             },
+            refused: r.millis("gate", "refused_ms", 0, 1_000, 0),
             loads: r.number("orders", "loads_per_minute", 1, 1_000_000, 600),
             load: r.millis("orders", "load_ms", 100, 86_400_000, 600_000),
             events: r.number("timeline", "events", 100, 10_000_000, 20_000) as usize,
