--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -4,6 +4,7 @@
     call::{Acquire, Admission, HeldSlot, ReleasedSlot},
     cancel::Preempted,
     gate_key,
+    headroom::Headroom,
     limit::Confirmation,
     queue::Queue,
     slot::{Counts, Effects, SlotRequest, Verdict},
@@ -28,7 +29,7 @@
 #[derive(Debug, Default)]
 pub struct Queues {
     /// Sorted by server.
-    gates: Mutex<Vec<Arc<Gate>>>,
+    pub(super) gates: Mutex<Vec<Arc<Gate>>>,
     pub(super) cancels: Mutex<Vec<Preempted>>,
     pub(super) preempted: Condvar,
     /// Servers and hosts for which the gates were last created.
@@ -61,6 +62,7 @@
     pub(super) confirmation: Confirmation,
     /// Host that last asked for a slot.
     pub(super) last_holder: Name,
+    pub(super) headroom: Headroom,
 }
 
 #[derive(Debug)]
@@ -128,7 +130,7 @@
             inner.queue.note_served(&request.workspace, call.served);
         }
         let (mut verdict, effects) = inner.queue.request(host.now(), request, weight, may_wait);
-        self.apply(host, &gate, &inner, effects);
+        self.apply(host, &gate, &mut inner, effects);
         if verdict == Verdict::Waiting {
             let end = host.now() + call.wait.min(WAIT_MAX);
             let Some(waited) = self.wait(host, &gate, inner, call, weight, end) else {
@@ -136,6 +138,7 @@
             };
             (inner, verdict) = waited;
         }
+        inner.note_verdict(host, request, verdict);
         if verdict == Verdict::Granted && request.class == Class::Online {
             host.note_granted_stream(request, &server.software);
         }
@@ -183,7 +186,7 @@
                 inner.queue.withdraw(&request.id);
                 (None, inner.queue.release(host.now(), &request.id, 0))
             };
-            self.apply(host, gate, &inner, effects);
+            self.apply(host, gate, &mut inner, effects);
         }
         inner.waiters.retain(|w| !Arc::ptr_eq(&w.wake, &wake));
         answer.map(|verdict| (inner, verdict))
@@ -213,7 +216,7 @@
                 }
                 false => inner.queue.release_unsent(host.now(), &slot.id),
             };
-            self.apply(host, &gate, &inner, effects);
+            self.apply(host, &gate, &mut inner, effects);
             inner.queue.counts()
         });
         counts.collect()
@@ -231,7 +234,7 @@
             let mut inner = gate.lock();
             inner.queue.renew(host.now(), &held.request, weight);
             let effects = inner.queue.serve(host.now());
-            self.apply(host, &gate, &inner, effects);
+            self.apply(host, &gate, &mut inner, effects);
             inner.queue.counts()
         });
         counts.collect()
@@ -279,8 +282,9 @@
             }
             let mut inner = gate.lock();
             inner.queue.expire(host.now());
+            inner.follow_headroom(host);
             let effects = inner.queue.serve(host.now());
-            self.apply(host, &gate, &inner, effects);
+            self.apply(host, &gate, &mut inner, effects);
         }
     }
 
@@ -303,7 +307,8 @@
     }
 
     /// Wakes the calls that got a slot and queues the preempted attempts for a cancel.
-    pub(super) fn apply(&self, host: &Host, gate: &Arc<Gate>, inner: &Inner, effects: Effects) {
+    pub(super) fn apply(&self, host: &Host, gate: &Arc<Gate>, inner: &mut Inner, effects: Effects) {
+        inner.follow_headroom(host);
         inner.wake(&effects.granted);
         if !effects.granted.is_empty() {
             host.gates.cold.note_granted(&gate.server, host.now());
@@ -338,6 +343,7 @@
                         owned_since: None,
                         confirmation: Confirmation::default(),
                         last_holder: Name::default(),
+                        headroom: Headroom::default(),
                     }),
                 });
                 gates.insert(at, gate.clone());
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -38,6 +38,8 @@
     sequence: u64,
     /// Limits the grants, if the server limits the requests that it takes.
     pace: Pace,
+    /// Slots kept free of batch work, those that online requests hold included.
+    reserve: u32,
 }
 
 #[derive(Debug, Clone)]
@@ -81,6 +83,7 @@
             batch: QueueTags::default(),
             sequence: 0,
             pace: Pace::default(),
+            reserve: 0,
         }
     }
 
@@ -89,6 +92,11 @@
         self.slots = slots.max(1);
     }
 
+    /// Keeps `reserve` slots free of new batch work, those that online requests hold included.
+    pub fn set_reserve(&mut self, reserve: u32) {
+        self.reserve = reserve;
+    }
+
     /// Grants at most `rate` slots per second from `now` on; any number with `None`.
     pub fn set_rate(&mut self, rate: Option<f64>, now: Time) {
         self.set_limits(rate, None, now);
@@ -307,7 +315,10 @@
                 online.count() < self.slots as usize
             }
             Class::Batch => {
-                self.active().count() < self.slots as usize && now >= self.started + SETTLE
+                let is_online = |h: &&Held| h.request.class == Class::Online;
+                let online = self.active().filter(is_online).count();
+                let unused = (self.reserve as usize).saturating_sub(online);
+                self.active().count() + unused < self.slots as usize && now >= self.started + SETTLE
             }
         }
     }
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -29,6 +29,11 @@
     code: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct SegmentLabel {
     segment: String,
@@ -51,6 +56,7 @@
     unrelayed: Counter,
     throttled: Counter,
     starts_suspected: Counter,
+    server_refused: Family<CauseLabel, Counter>,
     first: Histogram,
     gap: Histogram,
     slot: Histogram,
@@ -75,6 +81,8 @@
     pub jobs_age: Gauge,
     /// Milliseconds since the stream of rate shares was read to its head.
     pub homes_age: Gauge,
+    /// Slots that the gates of the host keep free of batch work, those that online requests hold included.
+    pub headroom: Gauge,
     /// Log lines dropped since the start because they could not be written fast enough.
     pub dropped: Gauge,
 }
@@ -91,6 +99,7 @@
             unrelayed: Counter::default(),
             throttled: Counter::default(),
             starts_suspected: Counter::default(),
+            server_refused: Family::default(),
             first: histogram(),
             gap: histogram(),
             slot: histogram(),
@@ -120,6 +129,8 @@
         to.register("throttled", help, self.throttled.clone());
         let help = "Connections refused and answers cut after which a server counts as cold";
         to.register("starts_suspected", help, self.starts_suspected.clone());
+        let help = "Requests that a server refused without running them";
+        to.register("server_refused", help, self.server_refused.clone());
         for (name, help, metric) in [
             ("first_piece", "Arrival to the first piece", &self.first),
             (
@@ -145,6 +156,7 @@
             ),
             ("jobs_age_ms", "Age of the last reading", &gauges.jobs_age),
             ("homes_age_ms", "Age of the last reading", &gauges.homes_age),
+            ("headroom_slots", "Slots kept for online", &gauges.headroom),
             ("log_lines_dropped", "Log lines dropped", &gauges.dropped),
         ] {
             to.register(name, help, metric.clone());
@@ -188,6 +200,20 @@
         self.unrelayed.inc();
     }
 
+    /// Counts a request that a server refused without running it, by `cause`.
+    pub fn server_refused(&self, cause: &'static str) {
+        self.server_refused
+            .get_or_create(&CauseLabel { cause })
+            .inc();
+    }
+
+    /// Number of requests that servers refused without running them for `cause`, since the start.
+    pub fn server_refusals(&self, cause: &'static str) -> u64 {
+        self.server_refused
+            .get_or_create(&CauseLabel { cause })
+            .get()
+    }
+
     /// Counts a request or a batch item that the limit of a server held back.
     pub fn throttled(&self) {
         self.throttled.inc();
