--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -45,6 +45,8 @@
 pub struct Limits {
     /// Percentage of each rate that goes to the hosts' own parts.
     own_percent: u32,
+    /// Whether used tokens are reported right away.
+    reports_used: bool,
     /// Sorted by workspace.
     accounts: RwLock<Vec<Arc<Account>>>,
     pub(super) lender: Mutex<Lender>,
@@ -74,6 +76,7 @@
     pub fn new(settings: &Settings) -> Self {
         let limits = Self {
             own_percent: settings.own,
+            reports_used: settings.reports_used,
             ..Self::default()
         };
         let mut lender = limits.lender.lock().expect("lender");
@@ -119,6 +122,28 @@
         self.lender.lock().expect("lender").count()
     }
 
+    /// Reports used tokens to their lenders, if the settings say so. A report that is lost is not
+    /// repeated: the next loan from the slot carries it, or the lender waits for the loan's end.
+    /// Returns whether the settings say so.
+    pub(super) fn settle(&self, host: &Arc<Host>) -> bool {
+        if !self.reports_used {
+            return false;
+        }
+        let accounts = self.accounts.read().expect("accounts").clone();
+        for account in accounts {
+            let asks = account.balance.lock().expect("balance").settle(host.now());
+            if asks.is_empty() {
+                continue;
+            }
+            if let Ok(workspace) = account.declared(host) {
+                asks.iter().for_each(|ask| {
+                    borrow(host, &workspace, ask);
+                });
+            }
+        }
+        true
+    }
+
     fn account(&self, workspace: &Name) -> Arc<Account> {
         let find =
             |accounts: &[Arc<Account>]| accounts.binary_search_by(|d| d.workspace.cmp(workspace));
--- a/tests/settings_parse.rs
+++ b/tests/settings_parse.rs
@@ -95,3 +95,20 @@
     let found = problems("[host]\nname = h1\n[listen\n");
     assert!(found.iter().any(|l| l.contains("line=3")), "{found:#?}");
 }
+
+/// Reports of used tokens double the messages of most requests, so they are off unless enabled.
+#[test]
+fn report_used_off_by_default() {
+    let used = |line: &str| {
+        let text = format!("{GOOD}[limits]\n{line}\n");
+        Settings::parse("f.ini", &text).map(|s| s.reports_used)
+    };
+    assert_eq!(used("body_bytes = 4096").ok(), Some(false));
+    assert_eq!(used("report_used = 1").ok(), Some(true));
+    let problems = used("report_used = 2").expect_err("neither 0 nor 1");
+    assert!(
+        problems[0]
+            .to_string()
+            .contains("key=report_used value=\"2\"")
+    );
+}
