--- a/tests/limit_hot.rs
+++ b/tests/limit_hot.rs
@@ -157,6 +157,41 @@
     }
 }
 
+/// A hot neighbour whose slots are on the same holders must not take from a workspace within its
+/// rate. Processor time of the holders is not simulated.
+#[test]
+fn neighbour_within_rate_is_served_alike() {
+    let sent = |hot: u64| {
+        let named = |name: &str, of| Workspace {
+            name: name.into(),
+            ..of
+        };
+        let workspaces = vec![
+            named("quiet", workspace(10, 10)),
+            named("hot", workspace(100, 100)),
+        ];
+        let mut fleet = Fleet::new(Policy::Escrow, 20, workspaces, 9);
+        fleet.settles = true;
+        fleet.hold_max = 20_000;
+        let mut arrive = |count: u64, of: usize| {
+            for n in 0..count {
+                let at = 15 * SECOND + n * 30 * SECOND / count;
+                fleet.arrive(at, (n * 7 % 20) as usize, of);
+            }
+        };
+        arrive(180, 0);
+        arrive(hot, 1);
+        fleet.run(50 * SECOND);
+        (fleet.tallies[0].sent.len(), fleet.tallies[1].refused)
+    };
+    let ((alone, _), (beside, refused)) = (sent(0), sent(9_000));
+    assert!(refused > 4_000, "the neighbour is hot: {refused} refused");
+    assert!(
+        alone == 180 && beside * 100 >= alone * 99,
+        "{beside} of {alone}"
+    );
+}
+
 fn empty_bucket(now: Duration) -> Bucket {
     let share = Share {
         rate: 1200 * 1_000_000,
