Keep servers without a known entry apart from suspected ones

A host that knew servers and limits but no entries raised a suspicion for each candidate, and told it to all gates. A server without entry now counts as cold on that host only, and reading the rate changes no state.

--- a/src/gate/cold.rs
+++ b/src/gate/cold.rs
@@ -135,6 +135,11 @@
         self.entry.is_some_and(|e| now < e.until) || self.suspected(span, now).is_some()
     }
 
+    /// Whether neither an entry nor a suspicion is known.
+    pub fn is_unknown(&self) -> bool {
+        self.entry.is_none() && self.suspicion.is_none()
+    }
+
     /// When the suspicion that is in force at `now` was raised.
     pub fn suspected(&self, span: Duration, now: Time) -> Option<Time> {
         let suspicion = self.suspicion.filter(|s| now < s.until(span));
--- a/src/gate/cold_servers.rs
+++ b/src/gate/cold_servers.rs
@@ -51,16 +51,15 @@
         !self.lock().limits.is_empty()
     }
 
-    /// Requests per second that `server` accepts if it counts as cold at `now`, else `None`. A server of
-    /// which nothing is known becomes suspected.
+    /// Requests per second that `server` accepts if it counts as cold at `now`, else `None`. A server
+    /// without a known entry and without a suspicion counts as cold: it may just have started.
     pub fn rate(&self, server: &Server, now: Time) -> Option<f64> {
-        let mut known = self.lock();
+        let known = self.lock();
         let (rate, span) = known.limit(server)?;
-        let state = &mut known.tracked(&server.name).state;
-        if *state == ColdState::default() {
-            state.suspect(now);
-        }
-        state.is_cold(span, now).then_some(rate)
+        let found = known.find(&server.name).ok();
+        let state = found.map(|at| &known.servers[at].state);
+        let is_cold = state.is_none_or(|s| s.is_unknown() || s.is_cold(span, now));
+        is_cold.then_some(rate)
     }
 
     /// Records the entry of a server. Returns whether it is newer than the last.
--- a/tests/gate_cold.rs
+++ b/tests/gate_cold.rs
@@ -2,8 +2,12 @@
 
 use gooseberrytack::{
     clock::Time,
-    gate::{ColdEntry, ColdState, GrantLimit, Queue, Role, SETTLE, SlotRequest, Verdict},
-    wire::Class,
+    config::Server,
+    gate::{
+        ColdEntry, ColdLimit, ColdServers, ColdState, GrantLimit, Queue, Role, SETTLE, SlotRequest,
+        Verdict,
+    },
+    wire::{Class, Name},
 };
 use std::time::Duration;
 
@@ -217,3 +221,38 @@
     state.suspect(TURN);
     assert!(!state.is_cold(SPAN, TURN + 60 * SECOND));
 }
+
+fn server() -> Server {
+    Server {
+        name: "s".into(),
+        addr: ([127, 0, 0, 1], 1).into(),
+        domain: "z".into(),
+        models: vec!["m".into()],
+        slots: 4,
+        fenced: false,
+        leaving: false,
+        start: 1,
+        software: Name::default(),
+    }
+}
+
+/// The state of a host that knows the limit of the service, and nothing of its servers.
+fn cold_servers() -> ColdServers {
+    let all = ColdServers::default();
+    all.set_limits(&[ColdLimit {
+        service: "m".into(),
+        span: SPAN,
+        rate: RATE,
+    }]);
+    all
+}
+
+#[test]
+fn server_without_entry_is_cold_but_not_suspected() {
+    // Guards against a host without entries that has every gate limit sound servers.
+    let (all, server) = (cold_servers(), server());
+    assert_eq!(all.rate(&server, TURN), Some(RATE));
+    assert!(all.suspected(TURN).is_empty());
+    all.note_entry(&server.name, entry(1, Time::ZERO, Time::ZERO));
+    assert_eq!(all.rate(&server, TURN), None);
+}
