Suspect a restart only after refused or reset connections and truncated responses

Every failed connect counted, also that of a request with little time left, of a host without free file descriptors and of one that was suspended, and so did errors that an engine reported.

--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -38,6 +38,7 @@
     received: u64,
     body: Option<Body>,
     is_unframed: bool,
+    is_truncated: bool,
 }
 
 /// Closes a connection from another thread.
@@ -89,6 +90,7 @@
             received: 0,
             body: None,
             is_unframed: false,
+            is_truncated: false,
         })
     }
 
@@ -105,6 +107,11 @@
         self.is_unframed
     }
 
+    /// Whether the server closed or reset the connection before the end of the answer.
+    pub fn is_truncated(&self) -> bool {
+        self.is_truncated
+    }
+
     /// Bytes of the answer received so far, head and framing included.
     pub fn received(&self) -> u64 {
         self.received
@@ -114,11 +121,15 @@
     ///
     /// # Errors
     /// The connection failed; the server may have the request.
-    pub fn send(&self, head: &str, body: &[u8]) -> io::Result<()> {
+    pub fn send(&mut self, head: &str, body: &[u8]) -> io::Result<()> {
         let mut bytes = Vec::with_capacity(head.len() + body.len());
         bytes.extend_from_slice(head.as_bytes());
         bytes.extend_from_slice(body);
-        (&*self.stream).write_all(&bytes)
+        let sent = (&*self.stream).write_all(&bytes);
+        if let Err(e) = &sent {
+            self.note_failed(e.kind());
+        }
+        sent
     }
 
     /// Reads the head of the answer, waiting for `limit` at most.
@@ -137,6 +148,7 @@
                 return Err(ReadError::TimedOut);
             }
             if self.fill(left)? == 0 {
+                self.is_truncated = !self.is_closed.load(Ordering::SeqCst);
                 return Err(broken("the connection was closed before the answer"));
             }
         }
@@ -159,7 +171,10 @@
             let whole = is_servers && self.body.as_mut().is_some_and(Body::end);
             return match whole {
                 true => Ok(false),
-                false => Err(broken("the answer ended early")),
+                false => {
+                    self.is_truncated = is_servers;
+                    Err(broken("the answer ended early"))
+                }
             };
         }
         let bytes = std::mem::take(&mut self.buffer);
@@ -188,11 +203,22 @@
                 ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted => {
                     Err(ReadError::TimedOut)
                 }
-                _ => Err(broken(&format!("the connection failed: {e}"))),
+                kind => {
+                    self.note_failed(kind);
+                    Err(broken(&format!("the connection failed: {e}")))
+                }
             },
         }
     }
 
+    fn note_failed(&mut self, kind: ErrorKind) {
+        let is_reset = matches!(
+            kind,
+            ErrorKind::ConnectionReset | ErrorKind::ConnectionAborted | ErrorKind::BrokenPipe
+        );
+        self.is_truncated = is_reset && !self.is_closed.load(Ordering::SeqCst);
+    }
+
     /// Sets the socket's read timeout, only if it changes, to save the system call.
     fn set_read_timeout(&mut self, limit: Duration) -> io::Result<()> {
         if self.read_timeout != limit {
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -6,7 +6,6 @@
 };
 use crate::{
     clock::Time,
-    config::Server,
     engine::{End, EngineClient, Generate, Piece},
     error::{Fail, Kind, Res},
     gate::{Slot, cancel_at},
@@ -78,12 +77,17 @@
             .note(Happening::Sent, &slot.id, None, &slot.server);
         let from = self.pos;
         slot.is_sent = true;
+        self.may_have_restarted = false;
         let result = match &self.work.request {
             Some(request) => self.forward(&slot, &mut attempt, request),
             None => self.stream(&slot, &mut attempt),
         };
         slot.used = self.pos - from;
-        self.suspect_start(&server, &slot.id, &result);
+        if let Err(Abort::Failed(fail)) = &result
+            && self.may_have_restarted
+        {
+            host.suspect_start(&server, &slot.id, &fail.text);
+        }
         let outcome = outcome(&attempt, &result);
         host.routes
             .end(host, &slot.server, self.work.class, outcome);
@@ -93,17 +97,6 @@
         result
     }
 
-    /// Suspects that the server has started again, if its connection was refused or its answer cut.
-    fn suspect_start(&self, server: &Server, id: &str, result: &Result<Answer, Abort>) {
-        let Err(Abort::Failed(fail)) = result else {
-            return;
-        };
-        let is_cut = fail.kind == Kind::ServerLost && !self.left_silent;
-        if is_cut || fail.kind == Kind::Unreachable {
-            self.host.suspect_start(server, id, &fail.text);
-        }
-    }
-
     fn stream(&mut self, slot: &Slot, attempt: &mut Attempt) -> Result<Answer, Abort> {
         let host = self.host;
         let left = self.work.deadline.saturating_sub(host.now());
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -111,8 +111,8 @@
     pub(super) segments: Vec<Name>,
     /// Right to send it although segments of it are in quarantine.
     pub(super) permit: Option<Permit>,
-    /// Whether the request left the server of the last attempt because that was silent.
-    pub(super) left_silent: bool,
+    /// Whether the failure of the last attempt suggests that its server has started again.
+    pub(super) may_have_restarted: bool,
     /// Whether the last attempt lost its server before the answer began.
     pub(super) lost_early: bool,
     /// Whether a server's limit held the work back.
@@ -163,7 +163,7 @@
         current: Name::default(),
         segments: segments_of(host, work),
         permit: None,
-        left_silent: false,
+        may_have_restarted: false,
         lost_early: false,
         was_throttled: false,
         failures: 0,
--- a/src/route/ending.rs
+++ b/src/route/ending.rs
@@ -35,7 +35,10 @@
         // second server as well.
         match self.pos > 0 && !self.was_partial && self.empty_ends > 1 {
             true => Ok(()),
-            false => Err(self.lost("the answer ended before its first event", false)),
+            false => {
+                self.may_have_restarted = true;
+                Err(self.lost("the answer ended before its first event", false))
+            }
         }
     }
 }
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -16,7 +16,7 @@
     timeline::Happening,
     wire::{Answer, Class, Name, Software},
 };
-use std::{fmt::Write, time::Duration};
+use std::{fmt::Write, io::ErrorKind, time::Duration};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for bytes between two checks whether the answer is still wanted.
@@ -46,7 +46,11 @@
             return Err(Abort::Final(Fail::new(Kind::Internal, text)));
         };
         let left = self.work.deadline.saturating_sub(host.now());
-        let mut conn = Conn::open(attempt.addr, CONNECT_TIMEOUT.min(left)).map_err(|e| {
+        let limit = CONNECT_TIMEOUT.min(left);
+        let began = host.now();
+        let mut conn = Conn::open(attempt.addr, limit).map_err(|e| {
+            let took = host.now().saturating_sub(began);
+            self.may_have_restarted = connect_suggests_restart(e.kind(), limit, took);
             Abort::Failed(Fail::new(Kind::Unreachable, format!("backend server: {e}")))
         })?;
         let entry = host.passing.register(&slot.id, conn.closer());
@@ -60,7 +64,7 @@
         };
         let fields = (dialect.fields)(&context);
         self.sent += 1;
-        (self.lost_early, self.left_silent) = (false, false);
+        self.lost_early = false;
         let result = match conn.send(&head_text(request, dialect, &fields), &request.body) {
             Ok(()) => self.read_answer(slot, attempt, request, dialect, &mut conn, &entry),
             Err(e) => Err(self.lost(&format!("the request was cut: {e}"), entry.is_ended())),
@@ -68,6 +72,7 @@
         if let Err(Abort::Failed(fail)) = &result
             && matches!(fail.kind, Kind::BrokenAnswer | Kind::ServerLost)
         {
+            self.may_have_restarted |= conn.is_truncated() && !entry.is_ended();
             let (id, server) = (&*slot.id, &*slot.server);
             let (bytes, start) = (conn.received(), attempt.start);
             let has_begun = attempt.first.is_some();
@@ -214,6 +219,7 @@
             if !more {
                 if events.is_partial() {
                     self.was_partial = true;
+                    self.may_have_restarted = conn.is_unframed() && !entry.is_ended();
                     let text = "the answer ended in the middle of an event";
                     return Err(self.lost(text, entry.is_ended()));
                 }
@@ -375,6 +381,16 @@
     }
 }
 
+/// Whether a failure to connect, with `limit` as timeout and after `took`, suggests that the server ended.
+/// A short timeout, a lack of resources on this host or a pause of this host does not.
+pub fn connect_suggests_restart(kind: ErrorKind, limit: Duration, took: Duration) -> bool {
+    match kind {
+        ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset => true,
+        ErrorKind::TimedOut => limit >= CONNECT_TIMEOUT && took < 2 * CONNECT_TIMEOUT,
+        _ => false,
+    }
+}
+
 fn broken(text: &str) -> Abort {
     Abort::Failed(Fail::new(Kind::BrokenAnswer, text))
 }
--- a/src/route/silence.rs
+++ b/src/route/silence.rs
@@ -26,7 +26,7 @@
         if !self.work.repeatable {
             return false;
         }
-        self.left_silent = match self.work.class {
+        match self.work.class {
             Class::Batch => silent >= LEAVE_BATCH_AFTER,
             Class::Online => {
                 if silent < WAIT_ELSEWHERE_AFTER {
@@ -36,8 +36,7 @@
                 self.reserved = self.reserve_elsewhere();
                 self.reserved.is_some()
             }
-        };
-        self.left_silent
+        }
     }
 
     /// A slot on another server and a retry of the budget, once both are to be had.
--- a/tests/gate_cold.rs
+++ b/tests/gate_cold.rs
@@ -7,9 +7,10 @@
         ColdEntry, ColdLimit, ColdServers, ColdState, GrantLimit, Queue, Role, SETTLE, SlotRequest,
         Verdict,
     },
+    route::connect_suggests_restart,
     wire::{Class, Name},
 };
-use std::time::Duration;
+use std::{io::ErrorKind, time::Duration};
 
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
@@ -256,3 +257,17 @@
     all.note_entry(&server.name, entry(1, Time::ZERO, Time::ZERO));
     assert_eq!(all.rate(&server, TURN), None);
 }
+
+#[test]
+fn connect_failure_of_the_host_is_no_sign_of_a_restart() {
+    // Guards against limits on sound servers after a late request, a lack of descriptors or a pause of the host.
+    let full = Duration::from_millis(500);
+    let is_sign = connect_suggests_restart;
+    assert!(is_sign(ErrorKind::ConnectionRefused, 2 * MS, MS));
+    assert!(is_sign(ErrorKind::ConnectionReset, full, MS));
+    assert!(is_sign(ErrorKind::TimedOut, full, full + MS));
+    assert!(!is_sign(ErrorKind::TimedOut, 2 * MS, 2 * MS));
+    assert!(!is_sign(ErrorKind::TimedOut, full, 4 * SECOND));
+    assert!(!is_sign(ErrorKind::Other, full, MS));
+    assert!(!is_sign(ErrorKind::AddrNotAvailable, full, MS));
+}
--- a/tests/pass_endless.rs
+++ b/tests/pass_endless.rs
@@ -41,7 +41,7 @@
 }
 
 fn open(addr: SocketAddr) -> Conn {
-    let conn = Conn::open(addr, Duration::from_secs(30)).expect("a server");
+    let mut conn = Conn::open(addr, Duration::from_secs(30)).expect("a server");
     conn.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", b"")
         .expect("sent");
     conn
