Start the suspected period with a request that the server may have received

A grant that was released unsent started it, and the server counted as warm without having been asked. Holders release unsent slots as such wherever cold limits are known: they are not told of suspicions.

--- a/src/gate/cold.rs
+++ b/src/gate/cold.rs
@@ -75,24 +75,27 @@
 }
 
 /// A suspicion that a server has started again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct Suspicion {
     /// When it was raised last.
     at: Time,
-    /// When the server was granted its first request after that.
-    granted: Option<Time>,
+    /// The first request after that which the server may have received, and when it was granted.
+    granted: Option<(Time, Name)>,
 }
 
 impl Suspicion {
     /// A server that is down may start at any time, and is cold from then on. It has started when it gets
     /// the first request that it does not refuse.
-    fn until(self, span: Duration) -> Time {
-        self.granted.map_or(self.at + UNUSED_MAX, |at| at + span)
+    fn until(&self, span: Duration) -> Time {
+        match &self.granted {
+            Some((at, _)) => at.saturating_add(span),
+            None => self.at.saturating_add(UNUSED_MAX),
+        }
     }
 }
 
 /// What is known of one server.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ColdState {
     entry: Option<ColdEntry>,
     suspicion: Option<Suspicion>,
@@ -106,7 +109,7 @@
             return false;
         }
         self.entry = Some(entry);
-        self.suspicion = self.suspicion.filter(|s| s.at >= entry.written_after);
+        self.suspicion.take_if(|s| s.at < entry.written_after);
         true
     }
 
@@ -115,7 +118,7 @@
     pub fn suspect(&mut self, at: Time) -> bool {
         // A host that has just started has zero for what is older than its clock.
         let is_answered = self.entry.is_some_and(|e| e.written_after > at);
-        let is_known = self.suspicion.is_some_and(|s| s.at >= at);
+        let is_known = self.suspicion.as_ref().is_some_and(|s| s.at >= at);
         if is_answered || is_known {
             return false;
         }
@@ -123,10 +126,18 @@
         true
     }
 
-    /// Records that the server was granted a request at `at`.
-    pub fn note_granted(&mut self, at: Time) {
+    /// Records that the server was granted the request of the attempt `id` at `at`.
+    pub fn note_granted(&mut self, id: &Name, at: Time) {
         if let Some(suspicion) = self.suspicion.as_mut().filter(|s| at >= s.at) {
-            suspicion.granted.get_or_insert(at);
+            suspicion.granted.get_or_insert_with(|| (at, id.clone()));
+        }
+    }
+
+    /// Records that the attempt `id` was not sent to the server. The cold period then starts with the next
+    /// request, also if another one was granted meanwhile.
+    pub fn note_unsent(&mut self, id: &Name) {
+        if let Some(suspicion) = &mut self.suspicion {
+            suspicion.granted.take_if(|(_, granted)| granted == id);
         }
     }
 
@@ -142,7 +153,7 @@
 
     /// When the suspicion that is in force at `now` was raised.
     pub fn suspected(&self, span: Duration, now: Time) -> Option<Time> {
-        let suspicion = self.suspicion.filter(|s| now < s.until(span));
+        let suspicion = self.suspicion.as_ref().filter(|s| now < s.until(span));
         suspicion.map(|s| s.at)
     }
 
--- a/src/gate/cold_servers.rs
+++ b/src/gate/cold_servers.rs
@@ -83,11 +83,19 @@
         is_new
     }
 
-    /// Records that `server` was granted a request at `at`.
-    pub fn note_granted(&self, server: &str, at: Time) {
+    /// Records that `server` was granted the request of the attempt `id` at `at`.
+    pub fn note_granted(&self, server: &str, id: &Name, at: Time) {
         let mut known = self.lock();
         if let Ok(i) = known.find(server) {
-            known.servers[i].state.note_granted(at);
+            known.servers[i].state.note_granted(id, at);
+        }
+    }
+
+    /// Records that the attempt `id` was not sent to `server`.
+    pub fn note_unsent(&self, server: &str, id: &Name) {
+        let mut known = self.lock();
+        if let Ok(i) = known.find(server) {
+            known.servers[i].state.note_unsent(id);
         }
     }
 
--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -181,7 +181,8 @@
                 (Some(verdict), effects)
             } else {
                 inner.queue.withdraw(&request.id);
-                (None, inner.queue.release(host.now(), &request.id, 0))
+                host.gates.cold.note_unsent(&call.server, &request.id);
+                (None, inner.queue.release_unsent(host.now(), &request.id))
             };
             self.apply(host, gate, &inner, effects);
         }
@@ -211,7 +212,10 @@
                     }
                     inner.queue.release(host.now(), &slot.id, slot.used)
                 }
-                false => inner.queue.release_unsent(host.now(), &slot.id),
+                false => {
+                    host.gates.cold.note_unsent(&slot.server, &slot.id);
+                    inner.queue.release_unsent(host.now(), &slot.id)
+                }
             };
             self.apply(host, &gate, &inner, effects);
             inner.queue.counts()
@@ -305,8 +309,8 @@
     /// Wakes the calls that got a slot and queues the preempted attempts for a cancel.
     pub(super) fn apply(&self, host: &Host, gate: &Arc<Gate>, inner: &Inner, effects: Effects) {
         inner.wake(&effects.granted);
-        if !effects.granted.is_empty() {
-            host.gates.cold.note_granted(&gate.server, host.now());
+        for id in &effects.granted {
+            host.gates.cold.note_granted(&gate.server, id, host.now());
         }
         if effects.preempted.is_empty() {
             return;
--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -86,7 +86,10 @@
         let held = &self.host.gates.held;
         match self.is_sent {
             true => held.release(&self.server, &self.id, self.used),
-            false => held.release_unsent(&self.server, &self.id),
+            false => {
+                self.host.gates.cold.note_unsent(&self.server, &self.id);
+                held.release_unsent(&self.server, &self.id);
+            }
         }
     }
 }
@@ -200,7 +203,9 @@
             acked: (gate.name.clone(), host.now()),
         };
         let (weight, batch) = (own.weight, request.class == Class::Batch);
-        host.gates.cold.note_granted(&call.server, host.now());
+        host.gates
+            .cold
+            .note_granted(&call.server, &request.id, host.now());
         let mut slots = self.slots.lock().expect("held slots");
         match slots.binary_search_by(|s| s.held.request.id.cmp(&request.id)) {
             Ok(at) => slots[at] = own,
--- a/src/gate/release.rs
+++ b/src/gate/release.rs
@@ -124,14 +124,13 @@
     }
 }
 
-/// Whether the server may be throttled at its gate.
+/// Whether the server may be throttled at its gate. With cold limits any server may be, as a suspicion is
+/// told to gates and not to holders.
 fn is_limited(host: &Host, server: &Name) -> bool {
     let (limits, now) = (&host.routes.limits, host.now());
-    let is_cold = || {
-        let server = host.config.view(|s| s.server(server).cloned());
-        server.is_some_and(|s| host.gates.cold.rate(&s, now).is_some())
-    };
-    limits.stated(server, now).is_some() || host.routes.throttled.has(server, now) || is_cold()
+    host.gates.cold.has_limits()
+        || limits.stated(server, now).is_some()
+        || host.routes.throttled.has(server, now)
 }
 
 /// Adds an item to those that are sent to `peer`.
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -83,10 +83,13 @@
             None => self.stream(&slot, &mut attempt),
         };
         slot.used = self.pos - from;
-        if let Err(Abort::Failed(fail)) = &result
-            && self.may_have_restarted
-        {
-            host.suspect_start(&server, &slot.id, &fail.text);
+        if let Err(Abort::Failed(fail)) = &result {
+            if self.may_have_restarted {
+                host.suspect_start(&server, &slot.id, &fail.text);
+            } else if fail.kind == Kind::Unreachable {
+                // This host could not connect, which tells nothing about the server.
+                slot.is_sent = false;
+            }
         }
         let outcome = outcome(&attempt, &result);
         host.routes
--- a/tests/gate_cold.rs
+++ b/tests/gate_cold.rs
@@ -209,7 +209,7 @@
     state.suspect(TURN);
     let back = TURN + 2 * SPAN;
     assert!(state.is_cold(SPAN, back));
-    state.note_granted(back);
+    state.note_granted(&"a".into(), back);
     assert!(state.is_cold(SPAN, back + SPAN - MS));
     assert!(!state.is_cold(SPAN, back + SPAN));
     state.suspect(back + SECOND);
@@ -271,3 +271,20 @@
     assert!(!is_sign(ErrorKind::Other, full, MS));
     assert!(!is_sign(ErrorKind::AddrNotAvailable, full, MS));
 }
+
+#[test]
+fn grant_that_was_not_sent_starts_no_cold_period() {
+    // Guards against a server that is taken for warm although it received no request.
+    let mut state = ColdState::default();
+    state.suspect(TURN);
+    state.note_granted(&"a".into(), TURN);
+    state.note_unsent(&"a".into());
+    assert!(state.is_cold(SPAN, TURN + SPAN));
+    // A later one that was sent does, whatever is released besides.
+    let sent = TURN + SPAN;
+    state.note_granted(&"b".into(), sent);
+    state.note_granted(&"c".into(), sent + MS);
+    state.note_unsent(&"c".into());
+    assert!(state.is_cold(SPAN, sent + SPAN - MS));
+    assert!(!state.is_cold(SPAN, sent + SPAN));
+}
