Keep suspicions by server name, and tell them again only if needed

A host that did not know the server or its limit dropped a notice and counted as told; so did one that answered with an error. Each refusal was logged, counted and told. The age in a notice could lie before a suspension of the receiving host, which therefore uses the time of receipt.

--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -134,7 +134,7 @@
             );
         }
         known.fleet_fresh = known.fleet_fresh.max(Some(fresh));
-        host.gates.cold.prune(&known.fleet.value);
+        host.gates.cold.prune(&known.fleet.value, host.now());
         known.install_state(host);
     }
 
--- a/src/gate/call.rs
+++ b/src/gate/call.rs
@@ -171,20 +171,11 @@
     const PATH: &'static str = "/peer/gate/limits";
 }
 
-/// A server that may have started again.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SuspectedStart {
-    /// Backend server.
-    pub server: Name,
-    /// Time since a connection to it was refused or an answer of it was cut.
-    pub age: Duration,
-}
-
 /// Tells the gates of servers that the servers may have started again.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StartNotice {
-    /// One entry for each server.
-    pub starts: Vec<SuspectedStart>,
+    /// Backend servers.
+    pub servers: Vec<Name>,
 }
 
 impl Call for StartNotice {
--- a/src/gate/cold.rs
+++ b/src/gate/cold.rs
@@ -17,6 +17,9 @@
 /// Time after which a suspicion ends if the server got no request meanwhile. It is longer than most
 /// ejections; the entry of a server that is back after that says whether it is cold.
 const UNUSED_MAX: Duration = Duration::from_secs(30);
+/// Time for which a repeated suspicion changes nothing if the server was granted no request meanwhile: the
+/// attempts under way at a server that ends fail together.
+const REPEAT_MIN: Duration = Duration::from_millis(200);
 /// Length of the windows in which requests are counted.
 const WINDOW: Duration = Duration::from_secs(1);
 /// Most grants of a window that are remembered.
@@ -113,12 +116,15 @@
         true
     }
 
-    /// Records that the server may have started again at `at`. Returns whether that is new: later than
-    /// the last suspicion and than the newest entry.
+    /// Records that the server may have started again at `at`. Returns whether that changes the end of the
+    /// cold period: it is later than the newest entry, and the last suspicion does not cover it.
     pub fn suspect(&mut self, at: Time) -> bool {
         // A host that has just started has zero for what is older than its clock.
         let is_answered = self.entry.is_some_and(|e| e.written_after > at);
-        let is_known = self.suspicion.as_ref().is_some_and(|s| s.at >= at);
+        let covers = |s: &Suspicion| {
+            s.at >= at || (s.granted.is_none() && at < s.at.saturating_add(REPEAT_MIN))
+        };
+        let is_known = self.suspicion.as_ref().is_some_and(covers);
         if is_answered || is_known {
             return false;
         }
--- a/src/gate/cold_servers.rs
+++ b/src/gate/cold_servers.rs
@@ -7,6 +7,9 @@
     time::Duration,
 };
 
+/// Most servers that other hosts can have added by their suspicions and that are tracked.
+const SERVERS_MAX: usize = 16_384;
+
 /// Cold limits of the services and states of their servers; empty if no service has a limit.
 #[derive(Debug, Default)]
 pub struct ColdServers {
@@ -24,19 +27,37 @@
 struct Tracked {
     server: Name,
     state: ColdState,
-    /// Hosts that know of the suspicion raised at `told_of`.
+    /// Hosts that know of the suspicion that this host raised or was told of at `told_of`.
     told: Vec<Name>,
     told_of: Time,
-    /// When a suspicion was raised that every host raises by itself.
-    shared_at: Option<Time>,
+    /// Whether every host raises this suspicion by itself.
+    is_shared: bool,
+}
+
+impl Tracked {
+    fn begin_notices(&mut self, at: Time, is_shared: bool) {
+        self.told.clear();
+        (self.told_of, self.is_shared) = (at, is_shared);
+    }
+}
+
+/// What a suspicion changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Raised {
+    /// The server was not suspected before.
+    New,
+    /// The server was suspected; its period starts again.
+    Renewed,
+    /// Nothing: the suspicion was known, or a newer entry answers it.
+    Known,
 }
 
 /// A suspicion of which a host is to be told.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Untold {
+pub struct PendingNotice {
     /// Suspected server.
     pub server: Name,
-    /// When the suspicion was raised.
+    /// When this host raised the suspicion or was told of it.
     pub at: Time,
 }
 
@@ -67,20 +88,38 @@
         self.lock().tracked(server).state.note_entry(entry)
     }
 
-    /// Records that `server` may have started again at `at`; `false` if that is not new or the service of
-    /// the server has no limit.
-    pub fn suspect(&self, server: &Server, at: Time) -> bool {
-        let mut known = self.lock();
-        known.limit(server).is_some() && known.tracked(&server.name).state.suspect(at)
+    /// Records that `server` may have started again at `at`. Unless that was known, all hosts that need it are
+    /// to be told, also those that were told of an earlier suspicion: they may have granted a request since.
+    pub fn suspect(&self, server: &Name, at: Time) -> Raised {
+        self.raise(server, at, false)
     }
 
     /// Like [`Self::suspect`], for a suspicion that every host raises by itself and tells nobody.
-    pub fn suspect_shared(&self, server: &Server, at: Time) -> bool {
-        let is_new = self.suspect(server, at);
-        if is_new {
-            self.lock().tracked(&server.name).shared_at = Some(at);
+    pub fn suspect_shared(&self, server: &Name, at: Time) -> Raised {
+        self.raise(server, at, true)
+    }
+
+    /// Records at `now` that another host suspects `server`, which need not be configured here yet; `None`
+    /// if there is no room. A renewed suspicion is not passed on, as its host tells all that need it.
+    pub fn note_told(&self, server: &Name, now: Time) -> Option<Raised> {
+        let mut known = self.lock();
+        if known.find(server).is_err() && known.servers.len() >= SERVERS_MAX {
+            return None;
+        }
+        let raised = known.suspect(server, now);
+        if raised == Raised::New {
+            known.tracked(server).begin_notices(now, false);
+        }
+        Some(raised)
+    }
+
+    fn raise(&self, server: &Name, at: Time, is_shared: bool) -> Raised {
+        let mut known = self.lock();
+        let raised = known.suspect(server, at);
+        if raised != Raised::Known {
+            known.tracked(server).begin_notices(at, is_shared);
         }
-        is_new
+        raised
     }
 
     /// Records that `server` was granted the request of the attempt `id` at `at`.
@@ -102,8 +141,7 @@
     /// Servers that are suspected at `now`.
     pub fn suspected(&self, now: Time) -> Vec<Name> {
         let known = self.lock();
-        let spans = known.limits.iter().map(|l| l.span);
-        let span = spans.max().unwrap_or_default();
+        let span = known.longest_span();
         let all = known.servers.iter();
         all.filter(|t| t.state.suspected(span, now).is_some())
             .map(|t| t.server.clone())
@@ -111,36 +149,29 @@
     }
 
     /// The suspicions of `servers` that are in force and that the host `peer` was not told of.
-    pub fn untold<'a>(
-        &self,
-        servers: impl Iterator<Item = &'a Server>,
-        peer: &Name,
-        now: Time,
-    ) -> Vec<Untold> {
+    pub fn pending_notices(&self, servers: &[Name], peer: &Name, now: Time) -> Vec<PendingNotice> {
         let known = self.lock();
-        let untold = servers.filter_map(|server| {
-            let (_, span) = known.limit(server)?;
-            let tracked = &known.servers[known.find(&server.name).ok()?];
-            let at = tracked.state.suspected(span, now)?;
-            let is_told = tracked.told_of == at && tracked.told.contains(peer);
-            let is_shared = tracked.shared_at == Some(at);
-            (!is_told && !is_shared).then(|| Untold {
-                server: server.name.clone(),
-                at,
+        let span = known.longest_span();
+        let pending = servers.iter().filter_map(|server| {
+            let tracked = &known.servers[known.find(server).ok()?];
+            tracked.state.suspected(span, now)?;
+            let is_pending = !tracked.is_shared && !tracked.told.contains(peer);
+            is_pending.then(|| PendingNotice {
+                server: server.clone(),
+                at: tracked.told_of,
             })
         });
-        untold.collect()
+        pending.collect()
     }
 
-    /// Records that the host `peer` knows of a suspicion.
-    pub fn mark_told(&self, untold: &Untold, peer: &Name) {
+    /// Records that the host `peer` knows of a suspicion, unless it was raised again since.
+    pub fn mark_told(&self, notice: &PendingNotice, peer: &Name) {
         let mut known = self.lock();
-        let tracked = known.tracked(&untold.server);
-        if tracked.told_of != untold.at {
-            tracked.told.clear();
-            tracked.told_of = untold.at;
-        }
-        if !tracked.told.contains(peer) {
+        let Ok(at) = known.find(&notice.server) else {
+            return;
+        };
+        let tracked = &mut known.servers[at];
+        if tracked.told_of == notice.at && !tracked.told.contains(peer) {
             tracked.told.push(peer.clone());
         }
     }
@@ -152,10 +183,14 @@
         known.servers.iter().filter_map(entry).collect()
     }
 
-    /// Removes servers that are not among `servers` (sorted by name).
-    pub fn prune(&self, servers: &[Server]) {
-        let is_kept = |t: &Tracked| servers.binary_search_by(|s| s.name.cmp(&t.server)).is_ok();
-        self.lock().servers.retain(is_kept);
+    /// Removes servers that are not among `servers` (sorted by name) and not suspected at `now`.
+    pub fn prune(&self, servers: &[Server], now: Time) {
+        let mut known = self.lock();
+        let span = known.longest_span();
+        known.servers.retain(|t| {
+            let found = servers.binary_search_by(|s| s.name.cmp(&t.server));
+            found.is_ok() || t.state.suspected(span, now).is_some()
+        });
     }
 
     fn lock(&self) -> MutexGuard<'_, Known> {
@@ -172,6 +207,24 @@
         lowest.map(|l| (l.rate, l.span))
     }
 
+    /// The longest span of a limit. Notices need not be exact, as a host that is told in vain only has the server
+    /// limited for longer.
+    fn longest_span(&self) -> Duration {
+        let spans = self.limits.iter().map(|l| l.span);
+        spans.max().unwrap_or_default()
+    }
+
+    fn suspect(&mut self, server: &Name, at: Time) -> Raised {
+        let span = self.longest_span();
+        let state = &mut self.tracked(server).state;
+        let was_suspected = state.suspected(span, at).is_some();
+        match (state.suspect(at), was_suspected) {
+            (false, _) => Raised::Known,
+            (true, true) => Raised::Renewed,
+            (true, false) => Raised::New,
+        }
+    }
+
     fn find(&self, server: &str) -> Result<usize, usize> {
         self.servers.binary_search_by(|t| (*t.server).cmp(server))
     }
@@ -184,7 +237,7 @@
                 state: ColdState::default(),
                 told: Vec::new(),
                 told_of: Time::ZERO,
-                shared_at: None,
+                is_shared: false,
             };
             self.servers.insert(at, tracked);
             at
--- a/src/gate/limit.rs
+++ b/src/gate/limit.rs
@@ -141,7 +141,7 @@
 }
 
 /// Takes any answer of the peer, also that of a build that does not know the message.
-pub(super) fn is_answer(fail: Fail) -> Res<()> {
+fn is_answer(fail: Fail) -> Res<()> {
     match fail.kind {
         Kind::Unreachable | Kind::ServerLost => Err(fail),
         _ => Ok(()),
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -22,11 +22,11 @@
 
 pub use call::{
     Acquire, Admission, CountsReply, HeldSlot, LimitNotice, Release, ReleaseUnsent, ReleasedSlot,
-    Renew, ServerLeaving, StartNotice, StatedLimit, SuspectedStart, Yield, Yielded,
+    Renew, ServerLeaving, StartNotice, StatedLimit, Yield, Yielded,
 };
 pub use cancel::cancel_at;
 pub use cold::{ColdEntry, ColdLimit, ColdState, GrantLimit};
-pub use cold_servers::{ColdServers, Untold};
+pub use cold_servers::{ColdServers, PendingNotice, Raised};
 pub use fleet::{Served, Tags};
 pub use grant::{Queues, WAIT_MAX};
 pub use hold::{Held, Reply, Slot};
@@ -153,7 +153,6 @@
 
 fn starts(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
     serve_call(host, exchange, |host, call: StartNotice| {
-        suspect::receive(host, &call);
-        Ok(())
+        suspect::receive(host, &call)
     })
 }
--- a/src/gate/release.rs
+++ b/src/gate/release.rs
@@ -88,7 +88,11 @@
         let due = std::mem::take(&mut *outbox);
         drop(outbox);
         limit::tell_gates(host, &due.limits);
-        suspect::tell_gates(host, &due.suspects);
+        if !due.suspects.is_empty() {
+            let gates = due.releases.iter();
+            let gates = gates.filter_map(|r| Some((r.slot.server.clone(), r.gate.clone()?)));
+            suspect::tell_gates(host, &due.suspects, &gates.collect::<Vec<_>>());
+        }
         let (mut sent, mut unsent) = (Vec::new(), Vec::new());
         for pending in due.releases {
             let owner = host.members.owner(&gate_key(&pending.slot.server));
--- a/src/kernel/call.rs
+++ b/src/kernel/call.rs
@@ -52,7 +52,13 @@
         if reply.status == 200 {
             return decode(&reply.body);
         }
-        Err(decode::<Fail>(&reply.body).unwrap_or_else(|e| e))
+        Err(
+            decode::<Fail>(&reply.body).unwrap_or_else(|e| match reply.status {
+                // The host runs a build without this path.
+                404 => Fail::new(Kind::NotFound, format!("no path \"{}\"", Q::PATH)),
+                _ => e,
+            }),
+        )
     }
 }
 
--- a/tests/gate_cold.rs
+++ b/tests/gate_cold.rs
@@ -4,8 +4,8 @@
     clock::Time,
     config::Server,
     gate::{
-        ColdEntry, ColdLimit, ColdServers, ColdState, GrantLimit, Queue, Role, SETTLE, SlotRequest,
-        Verdict,
+        ColdEntry, ColdLimit, ColdServers, ColdState, GrantLimit, Queue, Raised, Role, SETTLE,
+        SlotRequest, Verdict,
     },
     route::connect_suggests_restart,
     wire::{Class, Name},
@@ -288,3 +288,56 @@
     assert!(state.is_cold(SPAN, sent + SPAN - MS));
     assert!(!state.is_cold(SPAN, sent + SPAN));
 }
+
+#[test]
+fn suspicion_told_before_configuration_is_kept() {
+    // Guards against a gate that forgets a suspicion because it knows neither server nor limit yet.
+    let (all, server) = (ColdServers::default(), server());
+    assert_eq!(all.note_told(&server.name, TURN), Some(Raised::New));
+    all.prune(&[], TURN + SECOND);
+    let limit = ColdLimit {
+        service: "m".into(),
+        span: SPAN,
+        rate: RATE,
+    };
+    all.set_limits(&[limit]);
+    all.note_entry(&server.name, entry(1, Time::ZERO, Time::ZERO));
+    assert_eq!(all.rate(&server, TURN + SECOND), Some(RATE));
+    // Nothing stays of a server that is never configured.
+    all.prune(&[], TURN + 60 * SECOND);
+    assert!(all.entries().is_empty());
+}
+
+#[test]
+fn suspicions_by_unknown_names_are_bounded() {
+    // Guards against notices that use up the memory, and against a dropped one that counts as told.
+    let all = ColdServers::default();
+    let is_kept = |n: &i32| all.note_told(&n.to_string().into(), TURN).is_some();
+    let kept = (0..20_000).filter(is_kept).count();
+    assert!((10_000..20_000).contains(&kept), "{kept}");
+}
+
+#[test]
+fn repeated_refusals_are_told_only_if_needed() {
+    // Guards against a log line, a count and a call for each refused attempt.
+    let (all, server) = (cold_servers(), server().name);
+    let gate: Name = "gate".into();
+    let tell = |now: Time| {
+        let pending = all.pending_notices(std::slice::from_ref(&server), &gate, now);
+        pending.iter().for_each(|p| all.mark_told(p, &gate));
+        pending.len()
+    };
+    all.note_granted(&server, &"a".into(), TURN);
+    assert_eq!(all.suspect(&server, TURN), Raised::New);
+    assert_eq!(tell(TURN), 1);
+    assert_eq!(all.suspect(&server, TURN + MS), Raised::Known);
+    assert_eq!(tell(TURN + MS), 0);
+    // The gate's period began with this grant.
+    all.note_granted(&server, &"b".into(), TURN + 2 * MS);
+    assert_eq!(all.suspect(&server, TURN + 3 * MS), Raised::Renewed);
+    assert_eq!(tell(TURN + 3 * MS), 1);
+    // A gate that is told passes on the change only.
+    all.note_granted(&server, &"c".into(), TURN + 4 * MS);
+    assert_eq!(all.note_told(&server, TURN + 5 * MS), Some(Raised::Renewed));
+    assert_eq!(tell(TURN + 5 * MS), 0);
+}
