Do no work for cold servers and evacuations on requests where neither is known

Requests took locks for each candidate and gates kept the grants of the last second without any limit. The servers that a host uses for a model are chosen again when the list of evacuated domains changes, without those domains: its 64 could all be evacuated. A bucket takes any rate without a panic.

--- a/src/gate/cold.rs
+++ b/src/gate/cold.rs
@@ -21,9 +21,9 @@
 /// attempts under way at a server that ends fail together.
 const REPEAT_MIN: Duration = Duration::from_millis(200);
 /// Length of the windows in which requests are counted.
-const WINDOW: Duration = Duration::from_secs(1);
+pub(super) const WINDOW: Duration = Duration::from_secs(1);
 /// Most grants of a window that are remembered.
-const RECENT_MAX: usize = 1024;
+pub(super) const RECENT_MAX: usize = 1024;
 
 /// What the cold servers of a service accept, in its operators' words.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -36,6 +36,13 @@
     pub rate: f64,
 }
 
+impl ColdLimit {
+    /// Whether the span is above zero and the rate is a number above zero.
+    pub fn is_valid(&self) -> bool {
+        !self.span.is_zero() && self.rate.is_finite() && self.rate > 0.0
+    }
+}
+
 /// Limit on the requests that a gate grants.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GrantLimit {
@@ -199,5 +206,6 @@
 /// second. What was granted before counts, so that no window across that moment exceeds the limit. After
 /// a second none of these grants is in a window any more, so the debt is one second's gain at most.
 pub fn first_tokens(limit: GrantLimit, recent: usize) -> f64 {
-    (limit.burst - recent as f64).clamp(-limit.rate, 0.0)
+    let gain = limit.rate.max(0.0);
+    (limit.burst - recent as f64).min(0.0).max(-gain)
 }
--- a/src/gate/cold_servers.rs
+++ b/src/gate/cold_servers.rs
@@ -3,7 +3,10 @@
 use super::cold::{ColdEntry, ColdLimit, ColdState};
 use crate::{clock::Time, config::Server, wire::Name};
 use std::{
-    sync::{Mutex, MutexGuard},
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -13,6 +16,8 @@
 /// Cold limits of the services and states of their servers; empty if no service has a limit.
 #[derive(Debug, Default)]
 pub struct ColdServers {
+    /// Whether a service has a limit; spares requests the lock if none has.
+    has_limits: AtomicBool,
     known: Mutex<Known>,
 }
 
@@ -64,23 +69,33 @@
 impl ColdServers {
     /// Replaces the limits of the services.
     pub fn set_limits(&self, limits: &[ColdLimit]) {
-        self.lock().limits = limits.to_vec();
+        let mut known = self.lock();
+        known.limits = limits.to_vec();
+        self.has_limits.store(!limits.is_empty(), Ordering::Release);
     }
 
     /// Whether a service has a limit.
     pub fn has_limits(&self) -> bool {
-        !self.lock().limits.is_empty()
+        self.has_limits.load(Ordering::Acquire)
     }
 
     /// Requests per second that `server` accepts if it counts as cold at `now`, else `None`. A server
     /// without a known entry and without a suspicion counts as cold: it may just have started.
     pub fn rate(&self, server: &Server, now: Time) -> Option<f64> {
+        match self.has_limits() {
+            true => self.lock().rate(server, now),
+            false => None,
+        }
+    }
+
+    /// Whether each of `servers` counts as cold at `now`, in their order; empty if no service has a limit.
+    pub fn are_cold(&self, servers: &[Server], now: Time) -> Vec<bool> {
+        if !self.has_limits() {
+            return Vec::new();
+        }
         let known = self.lock();
-        let (rate, span) = known.limit(server)?;
-        let found = known.find(&server.name).ok();
-        let state = found.map(|at| &known.servers[at].state);
-        let is_cold = state.is_none_or(|s| s.is_unknown() || s.is_cold(span, now));
-        is_cold.then_some(rate)
+        let is_cold = |server| known.rate(server, now).is_some();
+        servers.iter().map(is_cold).collect()
     }
 
     /// Records the entry of a server. Returns whether it is newer than the last.
@@ -124,6 +139,9 @@
 
     /// Records that `server` was granted the request of the attempt `id` at `at`.
     pub fn note_granted(&self, server: &str, id: &Name, at: Time) {
+        if !self.has_limits() {
+            return;
+        }
         let mut known = self.lock();
         if let Ok(i) = known.find(server) {
             known.servers[i].state.note_granted(id, at);
@@ -132,6 +150,9 @@
 
     /// Records that the attempt `id` was not sent to `server`.
     pub fn note_unsent(&self, server: &str, id: &Name) {
+        if !self.has_limits() {
+            return;
+        }
         let mut known = self.lock();
         if let Ok(i) = known.find(server) {
             known.servers[i].state.note_unsent(id);
@@ -207,6 +228,14 @@
         lowest.map(|l| (l.rate, l.span))
     }
 
+    fn rate(&self, server: &Server, now: Time) -> Option<f64> {
+        let (rate, span) = self.limit(server)?;
+        let found = self.find(&server.name).ok();
+        let state = found.map(|at| &self.servers[at].state);
+        let is_cold = state.is_none_or(|s| s.is_unknown() || s.is_cold(span, now));
+        is_cold.then_some(rate)
+    }
+
     /// The longest span of a limit. Notices need not be exact, as a host that is told in vain only has the server
     /// limited for longer.
     fn longest_span(&self) -> Duration {
--- a/src/gate/follow.rs
+++ b/src/gate/follow.rs
@@ -23,6 +23,7 @@
             tracing::info!(server = &*server.name, rate, age_ms, "server_limit_lapsed");
         }
         let cold = host.gates.cold.rate(server, now);
+        self.queue.track_grants(host.gates.cold.has_limits(), now);
         if stated.is_none() && cold.is_none() {
             return self.queue.set_limits(None, None, now);
         }
--- a/src/gate/pace.rs
+++ b/src/gate/pace.rs
@@ -1,7 +1,7 @@
 //! Pace at which a gate grants the requests of one server, by the limits in force.
 
 use super::{
-    cold::{GrantLimit, RecentGrants, first_tokens},
+    cold::{GrantLimit, RECENT_MAX, RecentGrants, WINDOW, first_tokens},
     throttle::{Throttle, burst_of},
 };
 use crate::clock::Time;
@@ -12,6 +12,10 @@
 pub(super) struct Pace {
     throttle: Option<Throttle>,
     recent: RecentGrants,
+    /// Whether `recent` is left empty because no cold limit is known.
+    is_untracked: bool,
+    /// Time from which `recent` has all grants of the last second.
+    complete_from: Time,
     /// Whether the limit is that of a cold server.
     is_cold: bool,
 }
@@ -34,14 +38,30 @@
             .get_or_insert_with(|| Throttle::new(limit.rate, now));
         throttle.set_limit(limit.rate, limit.burst, now);
         if turns_cold {
-            throttle.drain_to(first_tokens(limit, self.recent.count(now)), now);
+            let recent = match now < self.complete_from {
+                true => RECENT_MAX,
+                false => self.recent.count(now),
+            };
+            throttle.drain_to(first_tokens(limit, recent), now);
         }
     }
 
+    /// Keeps the grants of the last second only if a cold limit may apply. The grants of the second before the
+    /// first limit are not known, so as many as possible are assumed.
+    pub(super) fn track(&mut self, is_tracked: bool, now: Time) {
+        if is_tracked && self.is_untracked {
+            self.complete_from = now + WINDOW;
+        }
+        if !is_tracked && !self.is_untracked {
+            self.recent = RecentGrants::default();
+        }
+        self.is_untracked = !is_tracked;
+    }
+
     /// Takes a token for an online request or for batch work, if there is one for it.
     pub(super) fn take(&mut self, now: Time, is_batch: bool) -> bool {
         let is_taken = self.throttle.as_mut().is_none_or(|t| t.take(now, is_batch));
-        if is_taken {
+        if is_taken && !self.is_untracked {
             self.recent.push(now);
         }
         is_taken
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -99,6 +99,12 @@
         self.pace.set(stated, cold, now);
     }
 
+    /// Remembers the grants of the last second from `now` on, or none of them. A queue remembers them unless
+    /// told otherwise; only a cold limit needs them.
+    pub fn track_grants(&mut self, is_tracked: bool, now: Time) {
+        self.pace.track(is_tracked, now);
+    }
+
     /// Time until the throttle lets the next waiting request pass; `None` if it holds none back.
     pub fn throttle_delay(&self, now: Time) -> Option<Duration> {
         let next = &self.waiting[self.next()?].request;
--- a/src/route/leaving.rs
+++ b/src/route/leaving.rs
@@ -5,7 +5,10 @@
 //! evacuated failure domain count as leaving until the evacuation ends.
 
 use crate::{clock::Time, config::Server, wire::Name};
-use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+use std::sync::{
+    Arc, Mutex, MutexGuard, RwLock,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
 
 /// The servers that told this host that they are leaving.
 #[derive(Debug, Default)]
@@ -14,6 +17,10 @@
     known: Mutex<Vec<Departure>>,
     /// Evacuated failure domains, sorted.
     evacuated: RwLock<Arc<Vec<Name>>>,
+    /// Whether there are any; spares requests the lock if not.
+    has_evacuated: AtomicBool,
+    /// Number of changes of their list.
+    evacuations: AtomicU64,
 }
 
 #[derive(Debug, Clone)]
@@ -44,11 +51,23 @@
 
     /// Replaces the list of evacuated failure domains (sorted).
     pub fn set_evacuated(&self, domains: Arc<Vec<Name>>) {
-        *self.evacuated.write().expect("evacuated domains") = domains;
+        let mut evacuated = self.evacuated.write().expect("evacuated domains");
+        let has_evacuated = !domains.is_empty();
+        *evacuated = domains;
+        self.has_evacuated.store(has_evacuated, Ordering::Release);
+        self.evacuations.fetch_add(1, Ordering::Release);
+    }
+
+    /// Version of the list of evacuated failure domains on this host.
+    pub fn evacuations(&self) -> u64 {
+        self.evacuations.load(Ordering::Acquire)
     }
 
     /// Whether the failure domain of `server` is evacuated.
     pub fn is_evacuated(&self, server: &Server) -> bool {
+        if !self.has_evacuated.load(Ordering::Acquire) {
+            return false;
+        }
         let domains = self.evacuated.read().expect("evacuated domains");
         domains.binary_search(&server.domain).is_ok()
     }
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -62,6 +62,8 @@
 struct ModelServers {
     model: Name,
     at: Pos,
+    /// Version of the list of evacuated failure domains.
+    evacuations: u64,
     servers: Arc<[Server]>,
     /// Whether a thread is choosing the servers again.
     is_refreshing: bool,
@@ -221,15 +223,17 @@
         let is_untried = |s: &Server| !tried.contains(&s.name) && !self.departures.has(s);
         let has_untried = servers.iter().any(is_untried);
         let now = host.now();
+        let cold = host.gates.cold.are_cold(&servers, now);
         let stats = self.lock();
         let mut all: Vec<Candidate> = servers
             .iter()
-            .filter(|s| !has_untried || !tried.contains(&s.name))
-            .filter(|s| !self.departures.has(s))
-            .map(|s| {
+            .enumerate()
+            .filter(|(_, s)| !has_untried || !tried.contains(&s.name))
+            .filter(|(_, s)| !self.departures.has(s))
+            .map(|(n, s)| {
                 let candidate = candidate(&stats, s, s.domain == host.me.domain, now);
                 let is_throttled = self.throttled.has(&s.name, now);
-                let is_cold = host.gates.cold.rate(s, now).is_some();
+                let is_cold = cold.get(n).copied().unwrap_or(false);
                 let is_limited = is_throttled || is_cold || self.limits.rate(s).is_some();
                 candidate.with_limit(is_limited, is_throttled)
             })
@@ -258,10 +262,12 @@
     /// gates refuse work for leaving servers.
     fn servers_for(&self, host: &Host, model: &Name) -> Arc<[Server]> {
         let at = host.config.view(|s| s.servers_at);
+        let evacuations = self.departures.evacuations();
         let mut known = self.by_model.lock().expect("chosen servers");
         if let Ok(i) = known.binary_search_by(|r| r.model.cmp(model)) {
             let chosen = &mut known[i];
-            if chosen.at == at || chosen.is_refreshing {
+            let is_current = chosen.at == at && chosen.evacuations == evacuations;
+            if is_current || chosen.is_refreshing {
                 return chosen.servers.clone();
             }
             chosen.is_refreshing = true;
@@ -312,17 +318,26 @@
     !server.leaving && server.software == *version && server.models.contains(model)
 }
 
-/// The servers that `host` uses for `model`, sorted by name.
+/// The servers that `host` uses for `model`, sorted by name. Those of evacuated failure domains are among them
+/// only if there are no others.
 fn choose_servers(host: &Host, model: &Name) -> ModelServers {
+    let departures = &host.routes.departures;
+    let evacuations = departures.evacuations();
     host.config.view(|state| {
         let able = state.servers.iter();
         let able = able.filter(|s| !s.leaving && s.models.contains(model));
-        let near = able.map(|s| (s.name.clone(), s.domain == host.me.domain));
+        let mut able: Vec<&Server> = able.collect();
+        if able.iter().any(|s| !departures.is_evacuated(s)) {
+            able.retain(|s| !departures.is_evacuated(s));
+        }
+        let near = able.iter();
+        let near = near.map(|s| (s.name.clone(), s.domain == host.me.domain));
         let mut names = subset(&host.me.name, near.collect());
         names.sort();
         ModelServers {
             model: model.clone(),
             at: state.servers_at,
+            evacuations,
             is_refreshing: false,
             servers: names
                 .iter()
--- a/tests/gate_cold.rs
+++ b/tests/gate_cold.rs
@@ -7,7 +7,7 @@
         ColdEntry, ColdLimit, ColdServers, ColdState, GrantLimit, Queue, Raised, Role, SETTLE,
         SlotRequest, Verdict,
     },
-    route::connect_suggests_restart,
+    route::{Departures, connect_suggests_restart},
     wire::{Class, Name},
 };
 use std::{io::ErrorKind, time::Duration};
@@ -341,3 +341,53 @@
     assert_eq!(all.note_told(&server, TURN + 5 * MS), Some(Raised::Renewed));
     assert_eq!(tell(TURN + 5 * MS), 0);
 }
+
+#[test]
+fn limit_that_becomes_known_counts_unknown_grants() {
+    // Guards against a burst if a server is cold when its limit is first known, as no grants were kept before.
+    let mut queue = Queue::new(8, Time::ZERO);
+    queue.track_grants(false, Time::ZERO);
+    let mut times = demand(&mut queue, TURN - MS, 9, Class::Online);
+    for step in 0..400 {
+        let now = TURN + step * 10 * MS;
+        queue.track_grants(true, now);
+        queue.set_limits(None, cold(Role::Gate), now);
+        times.extend(demand(&mut queue, now, 3, Class::Online));
+    }
+    let most = busiest(&times, TURN);
+    assert!(most <= ALLOWED, "{most}");
+}
+
+#[test]
+fn invalid_limit_neither_panics_nor_counts_as_valid() {
+    // Guards against limits of a peer that were not checked by its configuration.
+    for rate in [-1.0, 0.0, f64::NAN, f64::INFINITY] {
+        let limit = ColdLimit {
+            service: "m".into(),
+            span: SPAN,
+            rate,
+        };
+        assert!(!limit.is_valid(), "{rate}");
+        let mut queue = Queue::new(8, Time::ZERO);
+        let burst = 1.0;
+        queue.set_limits(None, Some(GrantLimit { rate, burst }), TURN);
+    }
+    assert!(cold_servers().are_cold(&[server()], TURN)[0]);
+    assert!(
+        ColdServers::default()
+            .are_cold(&[server()], TURN)
+            .is_empty()
+    );
+}
+
+#[test]
+fn evacuations_change_with_each_list() {
+    // Guards against a choice of servers that keeps those of an evacuated domain.
+    let (departures, server) = (Departures::default(), server());
+    let before = departures.evacuations();
+    departures.set_evacuated(vec!["z".into()].into());
+    assert!(departures.is_evacuated(&server));
+    assert_ne!(departures.evacuations(), before);
+    departures.set_evacuated(Vec::new().into());
+    assert!(!departures.is_evacuated(&server));
+}
