--- a/src/declared/operation.rs
+++ b/src/declared/operation.rs
@@ -19,12 +19,27 @@
     time::Duration,
 };
 
+/// Interval between two calls to peers while nothing is configured.
+const UNUSED_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The newest of these parts that a host knows. Each has the version that its source gave it.
 #[derive(Debug, Default)]
 pub struct Operation {
     cold: Versioned<Vec<ColdLimit>>,
     /// Sorted.
     evacuated: Versioned<Vec<Name>>,
+    /// When a peer was last asked.
+    asked: Option<Time>,
+}
+
+impl Operation {
+    /// Whether a peer is to be asked at `now`. A host that knows no limit and no evacuation asks rarely: it may
+    /// have started without the source, or one may have begun since.
+    fn is_due(&self, now: Time) -> bool {
+        let is_used = !self.cold.value.is_empty() || !self.evacuated.value.is_empty();
+        let is_recent = |at: Time| now.saturating_sub(at) < UNUSED_INTERVAL;
+        is_used || !self.asked.is_some_and(is_recent)
+    }
 }
 
 /// What a server's entry says of its start, as a host saw it.
@@ -141,7 +156,11 @@
 
 /// Takes the newer parts of `peer`. One of an earlier build has none.
 pub(super) fn catch_up(host: &Host, peer: &Peer) {
-    let operation = host.declared.operation();
+    let mut operation = host.declared.operation();
+    if !operation.is_due(host.now()) {
+        return;
+    }
+    operation.asked = Some(host.now());
     let call = OperationCall {
         cold: operation.cold.at,
         evacuated: operation.evacuated.at,
@@ -150,8 +169,15 @@
     let began = host.now();
     match host.call(peer.addr, &call, CALL_TIMEOUT) {
         Ok(reply) => {
-            if let Some(cold) = reply.cold {
-                host.declared.update_cold(host, cold);
+            match reply.cold {
+                Some(cold) if cold.value.iter().all(ColdLimit::is_valid) => {
+                    host.declared.update_cold(host, cold);
+                }
+                Some(cold) => {
+                    let invalid = cold.value.iter().find(|l| !l.is_valid());
+                    tracing::warn!(peer = &*peer.name, ?invalid, "cold_limits_refused");
+                }
+                None => {}
             }
             if let Some(evacuated) = reply.evacuated {
                 host.declared.update_evacuated(host, evacuated);
@@ -159,7 +185,9 @@
             // What is left of a cold period counts from the answer, and the age from the question.
             let waited = host.now().saturating_sub(began);
             let mut entries = reply.entries;
-            entries.iter_mut().for_each(|e| e.age += waited);
+            entries
+                .iter_mut()
+                .for_each(|e| e.age = e.age.saturating_add(waited));
             host.declared.update_entries(host, &entries, host.now());
         }
         Err(fail) => {
