--- a/src/gate/follow.rs
+++ b/src/gate/follow.rs
@@ -29,7 +29,11 @@
         }
         let role = self.role(host, &server.name, holder, now);
         let stated = stated.map(|(rate, _)| role.granted_rate(rate));
-        let cold = cold.map(|rate| GrantLimit::cold(rate, role));
+        let cold = cold.map(|rate| {
+            let count = host.members.ring().peers().len();
+            let list_age = host.members.fresh().map(|at| now.saturating_sub(at));
+            GrantLimit::cold(rate, role.for_cold(list_age, count))
+        });
         self.queue.set_limits(stated, cold, now);
     }
 
--- a/src/gate/limit.rs
+++ b/src/gate/limit.rs
@@ -54,6 +54,18 @@
     }
 }
 
+impl Role {
+    /// The role for the limit of a cold server, if the host list was last read `list_age` ago and has
+    /// `host_count` hosts. While the list cannot be read, another host may have become the gate.
+    pub fn for_cold(self, list_age: Option<Duration>, host_count: usize) -> Self {
+        let is_fresh = list_age.is_some_and(|age| age < handover(host_count));
+        match self {
+            Self::Gate if !is_fresh => Self::Standby,
+            role => role,
+        }
+    }
+}
+
 /// Time after which a new gate grants all of a limit.
 pub(super) fn handover(host_count: usize) -> Duration {
     Members::read_every(host_count) + HANDOVER_MARGIN
--- a/tests/gate_cold.rs
+++ b/tests/gate_cold.rs
@@ -391,3 +391,13 @@
     departures.set_evacuated(Vec::new().into());
     assert!(!departures.is_evacuated(&server));
 }
+
+#[test]
+fn gate_without_fresh_host_list_grants_a_part() {
+    // Guards against two hosts that both grant the full rate after one of them lost the host list.
+    let role = |age: Option<Duration>| Role::Gate.for_cold(age, 3);
+    assert_eq!(role(Some(Duration::ZERO)), Role::Gate);
+    assert_eq!(role(Some(600 * SECOND)), Role::Standby);
+    assert_eq!(role(None), Role::Standby);
+    assert_eq!(Role::Alone(3).for_cold(None, 3), Role::Alone(3));
+}
