--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -4,9 +4,9 @@
 //! is versioned by its source; a host never goes back to a lower version. Hosts that cannot reach the
 //! source fetch newer parts from their peers.
 
-mod operation;
+mod restrictions;
 
-pub use operation::{Operation, SeenEntry};
+pub use restrictions::{SeenEntry, ServerRestrictions};
 
 use crate::{
     clock::Time,
@@ -35,7 +35,7 @@
         name: "declared",
         routes: &[
             Route { port: Port::Peer, method: "POST", path: "/peer/declared", handle: serve },
-            Route { port: Port::Peer, method: "POST", path: "/peer/declared/operation", handle: operation::serve },
+            Route { port: Port::Peer, method: "POST", path: "/peer/declared/restrictions", handle: restrictions::serve },
         ],
         tasks: &[Task { name: "declared", every: CHECK_INTERVAL, run: catch_up, waits: true, on: On::Outside }],
         stop: |_| {},
@@ -96,7 +96,7 @@
 #[derive(Debug, Default)]
 pub struct Declared {
     known: Mutex<Known>,
-    operation: Mutex<Operation>,
+    restrictions: Mutex<ServerRestrictions>,
 }
 
 #[derive(Debug, Default)]
@@ -252,7 +252,7 @@
         };
         drop(known);
         // Before the servers, so that none of them is known without what limits it.
-        operation::catch_up(host, peer);
+        restrictions::catch_up(host, peer);
         let began = host.now();
         match host.call(peer.addr, &call, CALL_TIMEOUT) {
             Ok(reply) => {
--- a/src/declared/restrictions.rs
+++ b/src/declared/restrictions.rs
@@ -24,7 +24,7 @@
 
 /// The newest of these parts that a host knows. Each has the version that its source gave it.
 #[derive(Debug, Default)]
-pub struct Operation {
+pub struct ServerRestrictions {
     cold: Versioned<Vec<ColdLimit>>,
     /// Sorted.
     evacuated: Versioned<Vec<Name>>,
@@ -32,7 +32,7 @@
     asked: Option<Time>,
 }
 
-impl Operation {
+impl ServerRestrictions {
     /// Whether a peer is to be asked at `now`. A host that knows no limit and no evacuation asks rarely: it may
     /// have started without the source, or one may have begun since.
     fn is_due(&self, now: Time) -> bool {
@@ -58,21 +58,24 @@
 impl Declared {
     /// Updates the limits of cold servers.
     pub fn update_cold(&self, host: &Host, update: Versioned<Vec<ColdLimit>>) {
-        let mut operation = self.operation();
-        if operation.cold.update(Some(update)) {
-            host.gates.cold.set_limits(&operation.cold.value);
+        let mut restrictions = self.restrictions();
+        if restrictions.cold.update(Some(update)) {
+            host.gates.cold.set_limits(&restrictions.cold.value);
         }
     }
 
     /// Updates the evacuated failure domains. At the end of an evacuation the servers of the domain count
     /// as suspected of being cold.
     pub fn update_evacuated(&self, host: &Host, update: Versioned<Vec<Name>>) {
-        let mut operation = self.operation();
-        let before = operation.evacuated.value.clone();
-        if !operation.evacuated.update(Some(update)) {
+        let mut restrictions = self.restrictions();
+        let before = restrictions.evacuated.value.clone();
+        if !restrictions.evacuated.update(Some(update)) {
             return;
         }
-        let (at, after) = (operation.evacuated.at, operation.evacuated.value.clone());
+        let (at, after) = (
+            restrictions.evacuated.at,
+            restrictions.evacuated.value.clone(),
+        );
         let servers = |domain: &Name| -> Vec<Server> {
             host.config.view(|state| {
                 let all = state.servers.iter();
@@ -110,32 +113,32 @@
         }
     }
 
-    fn operation(&self) -> MutexGuard<'_, Operation> {
-        self.operation.lock().expect("declared operation")
+    fn restrictions(&self) -> MutexGuard<'_, ServerRestrictions> {
+        self.restrictions.lock().expect("server restrictions")
     }
 }
 
 /// Asks a peer for the parts that are newer than the given versions, and for the entries of servers.
 #[derive(Debug, Serialize, Deserialize)]
-struct OperationCall {
+struct RestrictionsCall {
     cold: u64,
     evacuated: u64,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-struct OperationReply {
+struct RestrictionsReply {
     cold: Option<Versioned<Vec<ColdLimit>>>,
     evacuated: Option<Versioned<Vec<Name>>>,
     entries: Vec<SeenEntry>,
 }
 
-impl Call for OperationCall {
-    type Reply = OperationReply;
-    const PATH: &'static str = "/peer/declared/operation";
+impl Call for RestrictionsCall {
+    type Reply = RestrictionsReply;
+    const PATH: &'static str = "/peer/declared/restrictions";
 }
 
 pub(super) fn serve(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
-    serve_call(host, exchange, |host, call: OperationCall| {
+    serve_call(host, exchange, |host, call: RestrictionsCall| {
         let now = host.now();
         let seen = |(server, entry): (Name, ColdEntry)| SeenEntry {
             server,
@@ -144,9 +147,9 @@
             age: now.saturating_sub(entry.written_after),
         };
         let entries = host.gates.cold.entries().into_iter().map(seen).collect();
-        let operation = host.declared.operation();
-        let (cold, evacuated) = (&operation.cold, &operation.evacuated);
-        Ok(OperationReply {
+        let restrictions = host.declared.restrictions();
+        let (cold, evacuated) = (&restrictions.cold, &restrictions.evacuated);
+        Ok(RestrictionsReply {
             cold: (cold.at > call.cold).then(|| cold.clone()),
             evacuated: (evacuated.at > call.evacuated).then(|| evacuated.clone()),
             entries,
@@ -156,16 +159,16 @@
 
 /// Takes the newer parts of `peer`. One of an earlier build has none.
 pub(super) fn catch_up(host: &Host, peer: &Peer) {
-    let mut operation = host.declared.operation();
-    if !operation.is_due(host.now()) {
+    let mut restrictions = host.declared.restrictions();
+    if !restrictions.is_due(host.now()) {
         return;
     }
-    operation.asked = Some(host.now());
-    let call = OperationCall {
-        cold: operation.cold.at,
-        evacuated: operation.evacuated.at,
+    restrictions.asked = Some(host.now());
+    let call = RestrictionsCall {
+        cold: restrictions.cold.at,
+        evacuated: restrictions.evacuated.at,
     };
-    drop(operation);
+    drop(restrictions);
     let began = host.now();
     match host.call(peer.addr, &call, CALL_TIMEOUT) {
         Ok(reply) => {
@@ -191,7 +194,7 @@
             host.declared.update_entries(host, &entries, host.now());
         }
         Err(fail) => {
-            tracing::debug!(peer = &*peer.name, error = %fail, "peer_operation_not_read");
+            tracing::debug!(peer = &*peer.name, error = %fail, "peer_restrictions_not_read");
         }
     }
 }
--- a/src/gate/cold.rs
+++ b/src/gate/cold.rs
@@ -2,7 +2,7 @@
 //!
 //! A server that has just started accepts few requests per second and crashes above that. Its entry in
 //! the configuration tells for how long, but a server may be back before its entry says so. A refused
-//! connection or a cut answer therefore makes it suspected.
+//! connection or a truncated response therefore makes it suspected.
 
 use super::limit::Role;
 use crate::{clock::Time, wire::Name};
@@ -25,7 +25,7 @@
 /// Most grants of a window that are remembered.
 pub(super) const RECENT_MAX: usize = 1024;
 
-/// What the cold servers of a service accept, in its operators' words.
+/// What the cold servers of a service accept, as configured by the operators.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ColdLimit {
     /// Service.
@@ -205,7 +205,7 @@
 /// Tokens of a bucket at the moment at which its server turns cold, after `recent` grants in the last
 /// second. What was granted before counts, so that no window across that moment exceeds the limit. After
 /// a second none of these grants is in a window any more, so the debt is one second's gain at most.
-pub fn first_tokens(limit: GrantLimit, recent: usize) -> f64 {
+pub fn initial_tokens(limit: GrantLimit, recent: usize) -> f64 {
     let gain = limit.rate.max(0.0);
     (limit.burst - recent as f64).min(0.0).max(-gain)
 }
--- a/src/gate/pace.rs
+++ b/src/gate/pace.rs
@@ -1,7 +1,7 @@
 //! Pace at which a gate grants the requests of one server, by the limits in force.
 
 use super::{
-    cold::{GrantLimit, RECENT_MAX, RecentGrants, WINDOW, first_tokens},
+    cold::{GrantLimit, RECENT_MAX, RecentGrants, WINDOW, initial_tokens},
     throttle::{Throttle, burst_of},
 };
 use crate::clock::Time;
@@ -42,7 +42,7 @@
                 true => RECENT_MAX,
                 false => self.recent.count(now),
             };
-            throttle.drain_to(first_tokens(limit, recent), now);
+            throttle.drain_to(initial_tokens(limit, recent), now);
         }
     }
 
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -118,7 +118,7 @@
         to.register("log_helpless", help, self.unrelayed.clone());
         let help = "Requests and batch items that the limit of a server held back";
         to.register("throttled", help, self.throttled.clone());
-        let help = "Connections refused and answers cut after which a server counts as cold";
+        let help = "Changes of servers to suspected of being cold, after a refused connection or a truncated response";
         to.register("starts_suspected", help, self.starts_suspected.clone());
         for (name, help, metric) in [
             ("first_piece", "Arrival to the first piece", &self.first),
@@ -193,7 +193,7 @@
         self.throttled.inc();
     }
 
-    /// Counts a refused connection or a cut answer that has a server suspected of being cold.
+    /// Counts a refused connection or a truncated response after which a server becomes suspected of being cold.
     pub fn start_suspected(&self) {
         self.starts_suspected.inc();
     }
