--- a/src/gate/cold.rs
+++ b/src/gate/cold.rs
@@ -2,7 +2,7 @@
 //!
 //! A server that has just started accepts few requests per second and crashes above that. Its entry in
 //! the configuration tells for how long, but a server may be back before its entry says so. A refused
-//! connection or a cut answer therefore makes it suspected.
+//! connection or a truncated response therefore makes it suspected.
 
 use super::limit::Role;
 use crate::{clock::Time, wire::Name};
@@ -17,12 +17,15 @@
 /// Time after which a suspicion ends if the server got no request meanwhile. It is longer than most
 /// ejections; the entry of a server that is back after that says whether it is cold.
 const UNUSED_MAX: Duration = Duration::from_secs(30);
+/// Time for which a repeated suspicion changes nothing if the server was granted no request meanwhile: the
+/// attempts under way at a server that ends fail together.
+const REPEAT_MIN: Duration = Duration::from_millis(200);
 /// Length of the windows in which requests are counted.
-const WINDOW: Duration = Duration::from_secs(1);
+pub(super) const WINDOW: Duration = Duration::from_secs(1);
 /// Most grants of a window that are remembered.
-const RECENT_MAX: usize = 1024;
+pub(super) const RECENT_MAX: usize = 1024;
 
-/// What the cold servers of a service accept, in its operators' words.
+/// What the cold servers of a service accept, as configured by the operators.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ColdLimit {
     /// Service.
@@ -33,6 +36,13 @@
     pub rate: f64,
 }
 
+impl ColdLimit {
+    /// Whether the span is above zero and the rate is a number above zero.
+    pub fn is_valid(&self) -> bool {
+        !self.span.is_zero() && self.rate.is_finite() && self.rate > 0.0
+    }
+}
+
 /// Limit on the requests that a gate grants.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GrantLimit {
@@ -75,24 +85,27 @@
 }
 
 /// A suspicion that a server has started again.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct Suspicion {
     /// When it was raised last.
     at: Time,
-    /// When the server was granted its first request after that.
-    granted: Option<Time>,
+    /// The first request after that which the server may have received, and when it was granted.
+    granted: Option<(Time, Name)>,
 }
 
 impl Suspicion {
     /// A server that is down may start at any time, and is cold from then on. It has started when it gets
     /// the first request that it does not refuse.
-    fn until(self, span: Duration) -> Time {
-        self.granted.map_or(self.at + UNUSED_MAX, |at| at + span)
+    fn until(&self, span: Duration) -> Time {
+        match &self.granted {
+            Some((at, _)) => at.saturating_add(span),
+            None => self.at.saturating_add(UNUSED_MAX),
+        }
     }
 }
 
 /// What is known of one server.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ColdState {
     entry: Option<ColdEntry>,
     suspicion: Option<Suspicion>,
@@ -106,16 +119,19 @@
             return false;
         }
         self.entry = Some(entry);
-        self.suspicion = self.suspicion.filter(|s| s.at >= entry.written_after);
+        self.suspicion.take_if(|s| s.at < entry.written_after);
         true
     }
 
-    /// Records that the server may have started again at `at`. Returns whether that is new: later than
-    /// the last suspicion and than the newest entry.
+    /// Records that the server may have started again at `at`. Returns whether that changes the end of the
+    /// cold period: it is later than the newest entry, and the last suspicion does not cover it.
     pub fn suspect(&mut self, at: Time) -> bool {
         // A host that has just started has zero for what is older than its clock.
         let is_answered = self.entry.is_some_and(|e| e.written_after > at);
-        let is_known = self.suspicion.is_some_and(|s| s.at >= at);
+        let covers = |s: &Suspicion| {
+            s.at >= at || (s.granted.is_none() && at < s.at.saturating_add(REPEAT_MIN))
+        };
+        let is_known = self.suspicion.as_ref().is_some_and(covers);
         if is_answered || is_known {
             return false;
         }
@@ -123,10 +139,18 @@
         true
     }
 
-    /// Records that the server was granted a request at `at`.
-    pub fn note_granted(&mut self, at: Time) {
+    /// Records that the server was granted the request of the attempt `id` at `at`.
+    pub fn note_granted(&mut self, id: &Name, at: Time) {
         if let Some(suspicion) = self.suspicion.as_mut().filter(|s| at >= s.at) {
-            suspicion.granted.get_or_insert(at);
+            suspicion.granted.get_or_insert_with(|| (at, id.clone()));
+        }
+    }
+
+    /// Records that the attempt `id` was not sent to the server. The cold period then starts with the next
+    /// request, also if another one was granted meanwhile.
+    pub fn note_unsent(&mut self, id: &Name) {
+        if let Some(suspicion) = &mut self.suspicion {
+            suspicion.granted.take_if(|(_, granted)| granted == id);
         }
     }
 
@@ -135,9 +159,14 @@
         self.entry.is_some_and(|e| now < e.until) || self.suspected(span, now).is_some()
     }
 
+    /// Whether neither an entry nor a suspicion is known.
+    pub fn is_unknown(&self) -> bool {
+        self.entry.is_none() && self.suspicion.is_none()
+    }
+
     /// When the suspicion that is in force at `now` was raised.
     pub fn suspected(&self, span: Duration, now: Time) -> Option<Time> {
-        let suspicion = self.suspicion.filter(|s| now < s.until(span));
+        let suspicion = self.suspicion.as_ref().filter(|s| now < s.until(span));
         suspicion.map(|s| s.at)
     }
 
@@ -176,6 +205,7 @@
 /// Tokens of a bucket at the moment at which its server turns cold, after `recent` grants in the last
 /// second. What was granted before counts, so that no window across that moment exceeds the limit. After
 /// a second none of these grants is in a window any more, so the debt is one second's gain at most.
-pub fn first_tokens(limit: GrantLimit, recent: usize) -> f64 {
-    (limit.burst - recent as f64).clamp(-limit.rate, 0.0)
+pub fn initial_tokens(limit: GrantLimit, recent: usize) -> f64 {
+    let gain = limit.rate.max(0.0);
+    (limit.burst - recent as f64).min(0.0).max(-gain)
 }
--- a/src/gate/follow.rs
+++ b/src/gate/follow.rs
@@ -23,12 +23,17 @@
             tracing::info!(server = &*server.name, rate, age_ms, "server_limit_lapsed");
         }
         let cold = host.gates.cold.rate(server, now);
+        self.queue.track_grants(host.gates.cold.has_limits(), now);
         if stated.is_none() && cold.is_none() {
             return self.queue.set_limits(None, None, now);
         }
         let role = self.role(host, &server.name, holder, now);
         let stated = stated.map(|(rate, _)| role.granted_rate(rate));
-        let cold = cold.map(|rate| GrantLimit::cold(rate, role));
+        let cold = cold.map(|rate| {
+            let count = host.members.ring().peers().len();
+            let list_age = host.members.fresh().map(|at| now.saturating_sub(at));
+            GrantLimit::cold(rate, role.for_cold(list_age, count))
+        });
         self.queue.set_limits(stated, cold, now);
     }
 
--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -184,7 +184,8 @@
                 (Some(verdict), effects)
             } else {
                 inner.queue.withdraw(&request.id);
-                (None, inner.queue.release(host.now(), &request.id, 0))
+                host.gates.cold.note_unsent(&call.server, &request.id);
+                (None, inner.queue.release_unsent(host.now(), &request.id))
             };
             self.apply(host, gate, &mut inner, effects);
         }
@@ -214,7 +215,10 @@
                     }
                     inner.queue.release(host.now(), &slot.id, slot.used)
                 }
-                false => inner.queue.release_unsent(host.now(), &slot.id),
+                false => {
+                    host.gates.cold.note_unsent(&slot.server, &slot.id);
+                    inner.queue.release_unsent(host.now(), &slot.id)
+                }
             };
             self.apply(host, &gate, &mut inner, effects);
             inner.queue.counts()
@@ -310,8 +314,8 @@
     pub(super) fn apply(&self, host: &Host, gate: &Arc<Gate>, inner: &mut Inner, effects: Effects) {
         inner.follow_headroom(host);
         inner.wake(&effects.granted);
-        if !effects.granted.is_empty() {
-            host.gates.cold.note_granted(&gate.server, host.now());
+        for id in &effects.granted {
+            host.gates.cold.note_granted(&gate.server, id, host.now());
         }
         if effects.preempted.is_empty() {
             return;
--- a/src/gate/release.rs
+++ b/src/gate/release.rs
@@ -88,7 +88,11 @@
         let due = std::mem::take(&mut *outbox);
         drop(outbox);
         limit::tell_gates(host, &due.limits);
-        suspect::tell_gates(host, &due.suspects);
+        if !due.suspects.is_empty() {
+            let gates = due.releases.iter();
+            let gates = gates.filter_map(|r| Some((r.slot.server.clone(), r.gate.clone()?)));
+            suspect::tell_gates(host, &due.suspects, &gates.collect::<Vec<_>>());
+        }
         let (mut sent, mut unsent) = (Vec::new(), Vec::new());
         for pending in due.releases {
             let owner = host.members.owner(&gate_key(&pending.slot.server));
@@ -124,14 +128,13 @@
     }
 }
 
-/// Whether the server may be throttled at its gate.
+/// Whether the server may be throttled at its gate. With cold limits any server may be, as a suspicion is
+/// told to gates and not to holders.
 fn is_limited(host: &Host, server: &Name) -> bool {
     let (limits, now) = (&host.routes.limits, host.now());
-    let is_cold = || {
-        let server = host.config.view(|s| s.server(server).cloned());
-        server.is_some_and(|s| host.gates.cold.rate(&s, now).is_some())
-    };
-    limits.stated(server, now).is_some() || host.routes.throttled.has(server, now) || is_cold()
+    host.gates.cold.has_limits()
+        || limits.stated(server, now).is_some()
+        || host.routes.throttled.has(server, now)
 }
 
 /// Adds an item to those that are sent to `peer`.
