Answers without a length: a reset after their end makes them incomplete

Cause: a server that ends its output and then closes with the upload unread sends the end and a reset; pass::Conn read the end and did not look for the reset, so a part counted as the whole, for callers and for batch items (a text was recorded without its last event). In the HTTP client the library takes a reset for the end of a body without a length, and after a failed write the reset shows as an orderly end.

Change: pass::Conn looks for a reset at the end of such an answer, for 10 ms if the request has a body. http::bounded reports resets as another error, and the end of the input after a failed write as a reset.

--- a/src/http/bounded.rs
+++ b/src/http/bounded.rs
@@ -20,6 +20,8 @@
     limit: u64,
     /// Bytes that the answer to the current request may still have.
     left: u64,
+    /// Whether a write of the current request failed.
+    is_cut: bool,
 }
 
 impl<T: Transport> Connector<T> for BoundedConnector {
@@ -34,6 +36,7 @@
             inner,
             limit: self.limit,
             left: self.limit,
+            is_cut: false,
         }))
     }
 }
@@ -45,12 +48,18 @@
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
         self.left = self.limit;
-        self.inner.transmit_output(amount, timeout)
+        let result = self.inner.transmit_output(amount, timeout);
+        self.is_cut = result.is_err();
+        result
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
         let before = self.inner.buffers().input().len();
-        let is_more = self.inner.await_input(timeout)?;
+        let is_more = self.inner.await_input(timeout).map_err(plain)?;
+        // The failed write has taken the socket's error, so that the reset looks like an orderly end.
+        if !is_more && self.is_cut {
+            return Err(io::Error::other("the connection was reset").into());
+        }
         let arrived = self.inner.buffers().input().len().saturating_sub(before);
         match self.left.checked_sub(arrived as u64) {
             Some(left) => self.left = left,
@@ -70,3 +79,12 @@
         self.inner.is_tls()
     }
 }
+
+/// The error with a kind that `ureq` does not know: it takes a reset for the orderly end of an answer without
+/// a length.
+fn plain(error: Error) -> Error {
+    match error {
+        Error::Io(e) if e.kind() != ErrorKind::TimedOut => io::Error::other(e).into(),
+        other => other,
+    }
+}
--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -4,13 +4,16 @@
 //! bytes after an answer cannot be taken for part of the next one.
 
 use super::{Body, Framing, Head};
+use socket2::SockRef;
 use std::{
+    cell::Cell,
     io::{self, ErrorKind, Read, Write},
     net::{Shutdown, SocketAddr, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    thread,
     time::{Duration, Instant},
 };
 
@@ -21,6 +24,11 @@
 const FIELDS_MAX: usize = 64;
 /// Longest time that one write may block.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after the end of an answer without a length in which a reset shows that the server did not read the
+/// whole body of the request. It follows within a round trip, of about 1 ms between failure domains.
+const RESET_WAIT: Duration = Duration::from_millis(10);
+/// Interval at which that time is checked for a reset.
+const RESET_CHECK_EVERY: Duration = Duration::from_millis(1);
 
 /// A connection to a server for one request. Dropping it closes the connection, which makes the server
 /// cancel the request.
@@ -38,6 +46,8 @@
     received: u64,
     body: Option<Body>,
     is_unframed: bool,
+    /// Whether the request has a body.
+    has_body: Cell<bool>,
 }
 
 /// Closes a connection from another thread.
@@ -89,6 +99,7 @@
             received: 0,
             body: None,
             is_unframed: false,
+            has_body: Cell::new(false),
         })
     }
 
@@ -115,6 +126,7 @@
     /// # Errors
     /// The connection failed; the server may have the request.
     pub fn send(&self, head: &str, body: &[u8]) -> io::Result<()> {
+        self.has_body.set(!body.is_empty());
         let mut bytes = Vec::with_capacity(head.len() + body.len());
         bytes.extend_from_slice(head.as_bytes());
         bytes.extend_from_slice(body);
@@ -157,6 +169,9 @@
             // The end of the input is the server's only if this host did not close the connection.
             let is_servers = !self.is_closed.load(Ordering::SeqCst);
             let whole = is_servers && self.body.as_mut().is_some_and(Body::end);
+            if whole && self.is_unframed && self.is_reset() {
+                return Err(broken("the server did not read the whole request"));
+            }
             return match whole {
                 true => Ok(false),
                 false => Err(broken("the answer ended early")),
@@ -172,6 +187,27 @@
         }
     }
 
+    /// Whether the connection is reset at the end of its input. A server that closes a connection with
+    /// unread bytes resets it, also if it ended its output before.
+    fn is_reset(&self) -> bool {
+        let socket = SockRef::from(&*self.stream);
+        let wait = if self.has_body.get() {
+            RESET_WAIT
+        } else {
+            Duration::ZERO
+        };
+        let end = Instant::now() + wait;
+        loop {
+            if !matches!(socket.take_error(), Ok(None)) {
+                return true;
+            }
+            if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(RESET_CHECK_EVERY);
+        }
+    }
+
     fn fill(&mut self, limit: Duration) -> Result<usize, ReadError> {
         let limit = limit.max(Duration::from_millis(1));
         let mut bytes = [0; READ_BYTES];
