Statuses outside 100 to 599 are no answers

Cause: httparse accepts any three digits and nothing checked them: an answer with status 000 and not-run became 503 with retry-after, so that a request which had been sent was said not to have run; the HTTP client took 600 to 999 as answers.

Such an answer is broken: the request counts as sent and its outcome as unknown.

--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -19,6 +19,7 @@
 mod watch;
 
 pub use budget::{Budget, Share};
+pub(crate) use client::is_status;
 pub use client::{Client, Reply, SendError, Stream, Timeouts};
 pub use exchange::Exchange;
 pub use request::{Framing, Head, HeadError, Request, parse_head};
--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -4,6 +4,7 @@
 //! bytes after an answer cannot be taken for part of the next one.
 
 use super::{Body, Framing, Head};
+use crate::http::is_status;
 use socket2::SockRef;
 use std::{
     cell::Cell,
@@ -267,12 +268,18 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(e) => return Err(broken(&format!("the answer is not valid HTTP: {e}"))),
     };
+    let status = parsed.code.unwrap_or(0);
+    if !is_status(status) {
+        return Err(broken(&format!(
+            "the status {status:03} of the answer is not in 100 to 599"
+        )));
+    }
     let named = parsed.headers.iter().map(|f| {
         let value = String::from_utf8_lossy(f.value).trim().to_string();
         (f.name.to_ascii_lowercase(), value)
     });
     let head = Head {
-        status: parsed.code.unwrap_or(0),
+        status,
         fields: named.collect(),
     };
     Ok(Some((head, size)))
--- a/tests/http_uploads.rs
+++ b/tests/http_uploads.rs
@@ -1,9 +1,9 @@
-//! Servers that answer without reading the request's body.
+//! Servers that answer without reading the request's body, and servers whose status is no HTTP status.
 //! A part of an answer without a length must not be taken for the whole.
 
 use gooseberrytack::{
     http::{Client, Timeouts},
-    pass::Conn,
+    pass::{Conn, ReadError},
 };
 use socket2::SockRef;
 use std::{
@@ -115,3 +115,37 @@
         }
     }
 }
+
+/// Codes of three digits that are no HTTP status.
+const NO_STATUSES: [&str; 5] = ["000", "001", "099", "600", "999"];
+
+fn answer_with(status: &str) -> SocketAddr {
+    let text = format!("HTTP/1.1 {status} Odd\r\nnot-run: 1\r\ncontent-length: 2\r\n\r\nno");
+    serve(text, Ending::Whole)
+}
+
+#[test]
+fn passed_status_out_of_range_is_broken() {
+    for status in NO_STATUSES {
+        let mut conn = Conn::open(answer_with(status), LIMIT).expect("a connection");
+        conn.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n", b"")
+            .expect("sent");
+        let got = conn.head(LIMIT);
+        assert!(
+            matches!(got, Err(ReadError::Broken(_))),
+            "{status}: {got:?}"
+        );
+    }
+}
+
+#[test]
+fn call_status_out_of_range_may_be_sent() {
+    for status in NO_STATUSES {
+        let url = format!("http://{}/a", answer_with(status));
+        let limits = Timeouts::within(LIMIT);
+        let got = Client::new().call("GET", &url, &[], &[], limits);
+        assert!(got.as_ref().is_err_and(|e| e.sent), "{status}: {got:?}");
+        let got = Client::new().stream("GET", &url, &[], &[], limits);
+        assert!(got.as_ref().is_err_and(|e| e.sent), "{status}: {got:?}");
+    }
+}
