Bound what waits for slow readers, callers and servers together

Cause: nothing bounded the bytes of answers and request bodies that wait for their readers over all connections of a host; a reader that took a byte within each write's limit held its bytes without an end, and four callers that did not read large answers kept the four large buffers from all others.

Change: http::Readers decides (pure), http::SlowReaders applies it to all ports and attempts of a host: a reader that takes nothing for unread_ms is cut off, and beyond unread_bytes the one with the greatest product of bytes and waiting time. Large request bodies are no longer copied behind their heads.

Memory of a process was not measured.

--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,7 +1,8 @@
 //! The HTTP client, on `ureq`.
 
 use super::{
-    agents::Agents, bounded::BoundedConnector, budget::Budget, filter::Filter, resolver::IpResolver,
+    agents::Agents, bounded::BoundedConnector, budget::Budget, filter::Filter, request::is_status,
+    resolver::IpResolver,
 };
 use std::{
     fmt,
@@ -312,12 +313,9 @@
             .map(|r| agent.run(configure(agent, r, limits)))
     };
     match built {
-        Ok(Ok(response)) if !is_status(response.status().as_u16()) => Err(SendError {
+        Ok(Ok(r)) if !is_status(r.status().as_u16()) => Err(SendError {
             sent: true,
-            text: format!(
-                "the status {} of the answer is not in 100 to 599",
-                response.status().as_str()
-            ),
+            text: format!("the status {} is not in 100 to 599", r.status().as_u16()),
         }),
         Ok(result) => result.map_err(|e| SendError {
             sent: may_be_sent(&e),
@@ -386,11 +384,6 @@
     }
 }
 
-/// Whether an answer may have `status`: RFC 9110, section 15, defines no others than 100 to 599.
-pub(crate) fn is_status(status: u16) -> bool {
-    (100..600).contains(&status)
-}
-
 /// Whether a byte of the request may have been sent; only a failed connect rules it out.
 fn may_be_sent(error: &ureq::Error) -> bool {
     match error {
--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -1,6 +1,6 @@
 //! One request on a connection, and its answer.
 
-use super::Request;
+use super::{Request, output::Output};
 use crate::error::{Fail, Kind, Res};
 use chunked_transfer::Encoder;
 use serde::Serialize;
@@ -24,6 +24,7 @@
     /// The request with its body.
     pub request: Request,
     conn: Arc<TcpStream>,
+    out: Output,
     /// Whether this host shut down the connection's reading side.
     read_closed: Arc<AtomicBool>,
     stopping: Arc<AtomicBool>,
@@ -34,26 +35,13 @@
 
 enum State {
     Open,
-    Streaming(Encoder<Socket>),
+    Streaming(Encoder<Output>),
     /// A streamed answer to `HEAD`, which has no body.
     HeadOnly,
     Done,
     Broken,
 }
 
-/// Writes to a shared socket, which has nothing to flush.
-struct Socket(Arc<TcpStream>);
-
-impl Write for Socket {
-    fn write(&mut self, data: &[u8]) -> io::Result<usize> {
-        (&*self.0).write(data)
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
-}
-
 /// JSON body of every error answer.
 #[derive(Debug, Serialize)]
 struct ErrorBody<'a> {
@@ -97,13 +85,14 @@
 impl Exchange {
     pub(super) fn new(
         request: Request,
-        conn: Arc<TcpStream>,
+        out: Output,
         read_closed: Arc<AtomicBool>,
         stopping: Arc<AtomicBool>,
     ) -> Self {
         Self {
             request,
-            conn,
+            conn: out.conn.clone(),
+            out,
             read_closed,
             stopping,
             keeps_alive: false,
@@ -127,7 +116,8 @@
         self.send_with(status, &[("content-type", kind)], body)
     }
 
-    /// Sends a whole answer with the header fields `fields`.
+    /// Sends a whole answer with the header fields `fields`. Where slow readers are bounded, `body` is dropped
+    /// before the answer waits for its reader, so that it takes no memory that other answers need.
     ///
     /// # Errors
     /// The connection failed, or another answer has begun, which is cut.
@@ -135,19 +125,22 @@
         &mut self,
         status: u16,
         fields: &[(&str, &str)],
-        body: &[u8],
+        body: impl AsRef<[u8]>,
     ) -> io::Result<()> {
         if self.is_begun() {
             self.abort();
             return Err(io::Error::other("another answer has begun"));
         }
         let mut out = self.head(status, fields);
-        out.extend_from_slice(format!("content-length: {}\r\n\r\n", body.len()).as_bytes());
+        out.extend_from_slice(
+            format!("content-length: {}\r\n\r\n", body.as_ref().len()).as_bytes(),
+        );
         if self.request.head.method != "HEAD" {
-            out.extend_from_slice(body);
+            out.extend_from_slice(body.as_ref());
         }
+        let _body = self.out.readers.is_none().then_some(body);
         self.state = State::Broken;
-        (&*self.conn).write_all(&out)?;
+        self.out.write_all(&out)?;
         self.state = State::Done;
         Ok(())
     }
@@ -192,12 +185,12 @@
         let mut out = self.head(status, fields);
         out.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
         self.state = State::Broken;
-        (&*self.conn).write_all(&out)?;
+        self.out.write_all(&out)?;
         if self.request.head.method == "HEAD" {
             self.state = State::HeadOnly;
             return Ok(());
         }
-        self.state = State::Streaming(Encoder::with_flush_after_write(Socket(self.conn.clone())));
+        self.state = State::Streaming(Encoder::with_flush_after_write(self.out.clone()));
         Ok(())
     }
 
--- /dev/null
+++ b/src/http/readers.rs
@@ -0,0 +1,156 @@
+//! Decides which connections of slow readers are closed.
+
+use crate::clock::Time;
+use std::time::Duration;
+
+/// Bytes that a reader has to take before its waiting time begins anew. One that takes single bytes stays as
+/// slow as one that takes none.
+const PIECE_BYTES: usize = 16 * 1024;
+/// Waiting time up to which a reader is not slow. On a link of 22 Mbit/s a piece takes 6 ms.
+const SLOW_AFTER: Duration = Duration::from_millis(100);
+
+/// Why a connection is closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Slow {
+    /// Its reader took nothing within its time limit.
+    Silent,
+    /// The bound is exceeded, and of all slow readers this one costs most.
+    Bound,
+}
+
+/// The writes of a host that wait for their readers, in both directions.
+#[derive(Debug)]
+pub struct Readers {
+    /// Most bytes that may wait.
+    most: usize,
+    held: usize,
+    next: u64,
+    /// Sorted by id.
+    list: Vec<Reader>,
+}
+
+#[derive(Debug)]
+struct Reader {
+    id: u64,
+    /// Bytes that wait.
+    left: usize,
+    /// Longest time without a byte taken.
+    limit: Duration,
+    /// When it last took a byte.
+    last: Time,
+    /// When it last completed a piece.
+    since: Time,
+    /// Bytes that waited at `since`.
+    from: usize,
+}
+
+/// A reader whose connection is to be closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Closed {
+    /// Id of the write.
+    pub id: u64,
+    /// Bytes that waited.
+    pub bytes: usize,
+    /// Time since it completed a piece.
+    pub waited: Duration,
+    /// Why it is closed.
+    pub cause: Slow,
+}
+
+impl Readers {
+    /// No writes yet, of which `most` bytes may wait.
+    pub fn new(most: usize) -> Self {
+        Self {
+            most,
+            held: 0,
+            next: 0,
+            list: Vec::new(),
+        }
+    }
+
+    /// Bytes that wait.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Adds a write of which `bytes` wait for a reader that must take one within `limit`. Returns its id.
+    pub fn add(&mut self, bytes: usize, limit: Duration, now: Time) -> u64 {
+        let id = self.next;
+        self.next += 1;
+        self.held += bytes;
+        self.list.push(Reader {
+            id,
+            left: bytes,
+            limit,
+            last: now,
+            since: now,
+            from: bytes,
+        });
+        id
+    }
+
+    /// Records that the reader of the write `id` took `bytes`.
+    pub fn take(&mut self, id: u64, bytes: usize, now: Time) {
+        let Ok(at) = self.list.binary_search_by_key(&id, |r| r.id) else {
+            return;
+        };
+        let reader = &mut self.list[at];
+        let bytes = bytes.min(reader.left);
+        reader.left -= bytes;
+        self.held -= bytes;
+        if bytes > 0 {
+            reader.last = now;
+        }
+        if reader.from - reader.left >= PIECE_BYTES {
+            (reader.since, reader.from) = (now, reader.left);
+        }
+    }
+
+    /// Removes the write `id`, which has ended.
+    pub fn remove(&mut self, id: u64) {
+        if let Ok(at) = self.list.binary_search_by_key(&id, |r| r.id) {
+            self.held -= self.list.remove(at).left;
+        }
+    }
+
+    /// Removes the writes whose connections are to be closed: those of silent readers, and, while more bytes
+    /// wait than may, the one with the greatest product of bytes and waiting time. Readers that have waited for
+    /// less than 100 ms are not closed for the bound.
+    pub fn close(&mut self, now: Time) -> Vec<Closed> {
+        let is_silent = |r: &Reader| now.saturating_sub(r.last) >= r.limit;
+        let mut closed: Vec<Closed> = (self.list.iter())
+            .filter(|r| is_silent(r))
+            .map(|r| r.closed(Slow::Silent, now))
+            .collect();
+        closed.iter().for_each(|c| self.remove(c.id));
+        while self.held > self.most {
+            let slow = self.list.iter().filter(|r| r.waited(now) >= SLOW_AFTER);
+            let Some(worst) = slow.max_by_key(|r| r.cost(now)) else {
+                break;
+            };
+            let worst = worst.closed(Slow::Bound, now);
+            self.remove(worst.id);
+            closed.push(worst);
+        }
+        closed
+    }
+}
+
+impl Reader {
+    fn waited(&self, now: Time) -> Duration {
+        now.saturating_sub(self.since)
+    }
+
+    fn cost(&self, now: Time) -> u128 {
+        self.left as u128 * self.waited(now).as_millis()
+    }
+
+    fn closed(&self, cause: Slow, now: Time) -> Closed {
+        Closed {
+            id: self.id,
+            bytes: self.left,
+            waited: self.waited(now),
+            cause,
+        }
+    }
+}
--- a/src/http/request.rs
+++ b/src/http/request.rs
@@ -194,6 +194,11 @@
     }
 }
 
+/// Whether an answer may have `status`: RFC 9110, section 15, defines no others than 100 to 599.
+pub(crate) fn is_status(status: u16) -> bool {
+    (100..600).contains(&status)
+}
+
 fn length(value: &str) -> Option<Framing> {
     let digits = value.bytes().all(|b| b.is_ascii_digit());
     match value.parse().ok().filter(|_| digits)? {
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -5,6 +5,7 @@
     budget::Budget,
     conns::Conns,
     exchange::Exchange,
+    output::SlowReaders,
     service::Service,
     watch::{Found, Poller, Watch},
 };
@@ -83,6 +84,8 @@
     pub(super) conns: Conns,
     /// Memory for the bodies of requests.
     pub(super) bodies: Budget,
+    /// The host's bound for slow readers, if there is one.
+    pub(super) readers: Option<SlowReaders>,
     /// Whether each connection ends after its current request.
     pub(super) stopping: Arc<AtomicBool>,
     /// Whether new connections are refused.
@@ -97,6 +100,22 @@
     /// # Errors
     /// The address cannot be bound.
     pub fn start<H>(addr: SocketAddr, bounds: Bounds, handler: H) -> io::Result<Self>
+    where
+        H: Fn(&mut Exchange) + Send + Sync + 'static,
+    {
+        Self::start_with(addr, bounds, None, handler)
+    }
+
+    /// Like `start`, with the host's bound for slow readers.
+    ///
+    /// # Errors
+    /// As for `start`.
+    pub fn start_with<H>(
+        addr: SocketAddr,
+        bounds: Bounds,
+        readers: Option<SlowReaders>,
+        handler: H,
+    ) -> io::Result<Self>
     where
         H: Fn(&mut Exchange) + Send + Sync + 'static,
     {
@@ -106,6 +125,7 @@
             bounds,
             conns: Conns::new(bounds.conns),
             bodies: Budget::new(bounds.bodies),
+            readers,
             stopping: Arc::default(),
             closed: AtomicBool::new(false),
             unbound: AtomicBool::new(false),
--- a/src/http/service.rs
+++ b/src/http/service.rs
@@ -4,6 +4,7 @@
     conns::Admission,
     exchange::{Exchange, error_json},
     input::Input,
+    output::Output,
     server::Shared,
     watch::{Idle, Watch},
 };
@@ -48,7 +49,7 @@
                 let bounds = &self.shared.bounds;
                 let _ = stream.set_nonblocking(false);
                 let _ = stream.set_nodelay(true);
-                let _ = stream.set_write_timeout(Some(bounds.write));
+                let _ = self.shared.output(&stream).prepare();
                 let conn = Idle {
                     id,
                     stream,
@@ -135,7 +136,8 @@
                 }
             };
             let stop = self.shared.stopping.clone();
-            let mut exchange = Exchange::new(request, stream.clone(), read_closed.clone(), stop);
+            let output = self.shared.output(stream);
+            let mut exchange = Exchange::new(request, output, read_closed.clone(), stop);
             answer(&mut exchange, &self.handler);
             if !exchange.is_reusable() {
                 return false;
@@ -149,6 +151,16 @@
     }
 }
 
+impl Shared {
+    fn output(&self, conn: &Arc<TcpStream>) -> Output {
+        Output {
+            conn: conn.clone(),
+            readers: self.readers.clone(),
+            limit: self.bounds.write,
+        }
+    }
+}
+
 /// Closes a connection and removes it from the list when its thread is done with it.
 struct RemoveOnDrop<'a> {
     shared: &'a Shared,
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -14,7 +14,7 @@
     error::{Fail, Kind, Res},
     fold::{Fold, Follower},
     gate::Gates,
-    http::{Bounds, Client, Exchange, Server},
+    http::{Bounds, Client, Exchange, Server, SlowReaders},
     job,
     limit::{Homes, Limits},
     member::Members,
@@ -169,13 +169,17 @@
             bodies: settings.bounds.bodies,
             ..Bounds::default()
         };
+        let unread = settings.unread;
+        let slow = unread.map(|u| SlowReaders::new(u.bytes, u.silence));
         let slot: Arc<OnceLock<Arc<Host>>> = Arc::default();
         let relay = RelayLog::new(log.clone(), slot.clone());
-        let caller = listen(settings.caller, settings.bounds, Port::Caller, &slot, proxy)?;
-        let peer = listen(settings.peer, peer_bounds, Port::Peer, &slot, None)?;
-        let control = listen(settings.control, peer_bounds, Port::Control, &slot, None)?;
+        let listen =
+            |addr, bounds, port, handler| listen(addr, bounds, port, &slot, slow.as_ref(), handler);
+        let caller = listen(settings.caller, settings.bounds, Port::Caller, proxy)?;
+        let peer = listen(settings.peer, peer_bounds, Port::Peer, None)?;
+        let control = listen(settings.control, peer_bounds, Port::Control, None)?;
         let side = |addr: Option<SocketAddr>, port| {
-            let server = addr.map(|a| listen(a, peer_bounds, port, &slot, None));
+            let server = addr.map(|a| listen(a, peer_bounds, port, None));
             server.transpose()
         };
         let ready = side(settings.ready, Port::Ready)?;
@@ -222,7 +226,7 @@
             caller: caller.addr(),
             control: control.addr(),
             declared: Declared::default(),
-            passing: AttemptRegistry::default(),
+            passing: AttemptRegistry::new(slow.clone()),
             dialect: outside.map(|o| o.dialect),
             stopping: AtomicBool::new(false),
             ends: OnceLock::new(),
--- a/src/kernel/ports.rs
+++ b/src/kernel/ports.rs
@@ -4,7 +4,7 @@
 use crate::{
     control,
     error::{Fail, Kind},
-    http::{Bounds, Exchange, Server},
+    http::{Bounds, Exchange, Server, SlowReaders},
 };
 use cadence::{BufferedUdpMetricSink, NopMetricSink, QueuingMetricSink, StatsdClient};
 use std::{
@@ -39,11 +39,12 @@
     bounds: Bounds,
     port: Port,
     slot: &Arc<OnceLock<Arc<Host>>>,
+    readers: Option<&SlowReaders>,
     handler: Option<Handler>,
 ) -> io::Result<Server> {
     let router = Router::new(port);
     let slot = slot.clone();
-    Server::start(addr, bounds, move |exchange| {
+    Server::start_with(addr, bounds, readers.cloned(), move |exchange| {
         let _ = match (handler, slot.get()) {
             (Some(handler), Some(host)) => handler(host, exchange),
             (_, host) => dispatch(host, port, &router, exchange),
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -74,6 +74,10 @@
     pub jobs_age: Gauge,
     /// Milliseconds since the stream of rate shares was read to its head.
     pub homes_age: Gauge,
+    /// Bytes that wait for slow readers.
+    pub unread: Gauge,
+    /// Connections closed since the start because their readers were slow.
+    pub slow: Gauge,
     /// Log lines dropped since the start because they could not be written fast enough.
     pub dropped: Gauge,
 }
@@ -141,6 +145,12 @@
             ),
             ("jobs_age_ms", "Age of the last reading", &gauges.jobs_age),
             ("homes_age_ms", "Age of the last reading", &gauges.homes_age),
+            (
+                "unread_bytes",
+                "Bytes waiting for slow readers",
+                &gauges.unread,
+            ),
+            ("slow_readers_closed", "Connections closed", &gauges.slow),
             ("log_lines_dropped", "Log lines dropped", &gauges.dropped),
         ] {
             to.register(name, help, metric.clone());
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -87,6 +87,10 @@
         .map(|s| age(host, s.jobs.progress().caught_up));
     gauges.jobs_age.set(ages.max().unwrap_or(0));
     gauges.streams.set(streams.len() as i64);
+    if let Some(readers) = host.passing.readers() {
+        gauges.unread.set(readers.held() as i64);
+        gauges.slow.set(readers.closed() as i64);
+    }
     gauges.dropped.set(logs::dropped() as i64);
 }
 
--- a/src/pass/buffer.rs
+++ b/src/pass/buffer.rs
@@ -111,6 +111,12 @@
     }
 }
 
+impl AsRef<[u8]> for Buffer {
+    fn as_ref(&self) -> &[u8] {
+        self
+    }
+}
+
 impl Drop for Buffer {
     fn drop(&mut self) {
         if let Some(large) = &self.large {
--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -4,7 +4,7 @@
 //! bytes after an answer cannot be taken for part of the next one.
 
 use super::{Body, Framing, Head};
-use crate::http::is_status;
+use crate::http::{SlowReaders, is_status};
 use socket2::SockRef;
 use std::{
     cell::Cell,
@@ -21,6 +21,8 @@
 const READ_BYTES: usize = 8 * 1024;
 /// Most bytes before the body of an answer, interim (1xx) answers included.
 const HEAD_MAX_BYTES: usize = 32 * 1024;
+/// Largest body that is copied behind its head.
+const COPY_MAX_BYTES: usize = 64 * 1024;
 /// Most header fields in an answer.
 const FIELDS_MAX: usize = 64;
 /// Longest time that one write may block.
@@ -49,6 +51,8 @@
     is_unframed: bool,
     /// Whether the request has a body.
     has_body: Cell<bool>,
+    /// The host's bound for slow readers, if there is one.
+    readers: Option<SlowReaders>,
 }
 
 /// Closes a connection from another thread.
@@ -101,9 +105,19 @@
             body: None,
             is_unframed: false,
             has_body: Cell::new(false),
+            readers: None,
         })
     }
 
+    /// Counts the bytes of the request against the host's bound for slow readers.
+    ///
+    /// # Errors
+    /// The socket cannot be set up.
+    pub fn bound(&mut self, readers: &SlowReaders) -> io::Result<()> {
+        self.readers = Some(readers.clone());
+        readers.prepare(&self.stream)
+    }
+
     /// A handle by which another thread can close the connection.
     pub fn closer(&self) -> Closer {
         Closer {
@@ -128,10 +142,19 @@
     /// The connection failed; the server may have the request.
     pub fn send(&self, head: &str, body: &[u8]) -> io::Result<()> {
         self.has_body.set(!body.is_empty());
-        let mut bytes = Vec::with_capacity(head.len() + body.len());
-        bytes.extend_from_slice(head.as_bytes());
-        bytes.extend_from_slice(body);
-        (&*self.stream).write_all(&bytes)
+        // One segment for a small request, and no copy of a large one.
+        if body.len() > COPY_MAX_BYTES {
+            self.write_all(head.as_bytes())?;
+            return self.write_all(body);
+        }
+        self.write_all(&[head.as_bytes(), body].concat())
+    }
+
+    fn write_all(&self, bytes: &[u8]) -> io::Result<()> {
+        match &self.readers {
+            Some(readers) => readers.write_all(&self.stream, bytes, WRITE_TIMEOUT),
+            None => (&*self.stream).write_all(bytes),
+        }
     }
 
     /// Reads the head of the answer, waiting for `limit` at most.
--- a/src/pass/registry.rs
+++ b/src/pass/registry.rs
@@ -1,8 +1,16 @@
 //! Running attempts of this host, so that other threads can end them, and memory for their answers.
 
-use super::{Answers, Buffer, Closer};
-use crate::{http::Share, wire::Name};
-use std::sync::{Mutex, MutexGuard};
+use super::{Answers, Buffer, Closer, Conn};
+use crate::{
+    http::{Share, SlowReaders},
+    wire::Name,
+};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
 
 /// The running attempts, by id.
 #[derive(Debug, Default)]
@@ -11,6 +19,8 @@
     list: Mutex<Vec<Attempt>>,
     /// Memory for answers that are buffered until they are complete.
     answers: Answers,
+    /// The host's bound for slow readers, if there is one.
+    readers: Option<SlowReaders>,
 }
 
 #[derive(Debug)]
@@ -28,6 +38,31 @@
 }
 
 impl AttemptRegistry {
+    /// No attempts yet, with the host's bound for slow readers.
+    pub fn new(readers: Option<SlowReaders>) -> Self {
+        Self {
+            readers,
+            ..Self::default()
+        }
+    }
+
+    /// The host's bound for slow readers, if there is one.
+    pub fn readers(&self) -> Option<&SlowReaders> {
+        self.readers.as_ref()
+    }
+
+    /// Connects to a server within `limit`.
+    ///
+    /// # Errors
+    /// As for [`Conn::open`].
+    pub fn open(&self, addr: SocketAddr, limit: Duration) -> io::Result<Conn> {
+        let mut conn = Conn::open(addr, limit)?;
+        match &self.readers {
+            Some(readers) => conn.bound(readers).map(|()| conn),
+            None => Ok(conn),
+        }
+    }
+
     /// Registers the attempt `id` with its connection.
     pub fn register(&self, id: &Name, closer: Closer) -> Registration<'_> {
         let attempt = Attempt {
--- a/src/pass/sink.rs
+++ b/src/pass/sink.rs
@@ -82,9 +82,9 @@
             self.exchange.abort();
             return Ok(());
         }
-        match &self.failed {
+        match self.failed {
             Some((head, body)) if matches!(fail.kind, Kind::ServerFailed | Kind::ServerRefused) => {
-                self.exchange.send_with(head.status, &passed(head), body)
+                self.exchange.send_with(head.status, &passed(&head), body)
             }
             _ => super::send_error(self.exchange, fail),
         }
@@ -166,7 +166,7 @@
         self.check()
     }
 
-    fn whole(&mut self, head: &Head, body: &[u8]) -> Res<()> {
+    fn whole(&mut self, head: &Head, body: Buffer) -> Res<()> {
         self.note_time();
         self.is_sent = true;
         self.exchange
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -56,7 +56,7 @@
     ///
     /// # Errors
     /// The answer is not wanted.
-    fn whole(&mut self, _head: &Head, _body: &[u8]) -> Res<()> {
+    fn whole(&mut self, _head: &Head, _body: Buffer) -> Res<()> {
         Ok(())
     }
 
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -46,9 +46,9 @@
             return Err(Abort::Final(Fail::new(Kind::Internal, text)));
         };
         let left = self.work.deadline.saturating_sub(host.now());
-        let mut conn = Conn::open(attempt.addr, CONNECT_TIMEOUT.min(left)).map_err(|e| {
-            Abort::Failed(Fail::new(Kind::Unreachable, format!("backend server: {e}")))
-        })?;
+        let opened = host.passing.open(attempt.addr, CONNECT_TIMEOUT.min(left));
+        let unreachable = |e| Fail::new(Kind::Unreachable, format!("backend server: {e}"));
+        let mut conn = opened.map_err(|e| Abort::Failed(unreachable(e)))?;
         let entry = host.passing.register(&slot.id, conn.closer());
         let workspace = &*self.work.workspace;
         let context = AttemptContext {
@@ -317,7 +317,7 @@
         }
         if head.status < 400 {
             self.host.note_answered(&self.segments, &slot.id);
-            self.sink.whole(head, &body).map_err(Abort::Final)?;
+            self.sink.whole(head, body).map_err(Abort::Final)?;
             return Ok(self.answer(slot));
         }
         self.sink.failed(head, body);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -35,6 +35,10 @@
     pub statsd: Option<SocketAddr>,
     /// Bounds of the callers' port.
     pub bounds: Bounds,
+    /// Bound for bytes that wait for slow readers; `None` for none.
+    pub unread: Option<Unread>,
+    /// Names of what the platform has agreed with this deployment.
+    pub contracts: Vec<Name>,
     /// Time limit of an online request whose caller gives no deadline.
     pub deadline: Duration,
     /// Delay at a planned stop between reporting not ready and closing the port.
@@ -83,6 +87,15 @@
     pub events: usize,
 }
 
+/// Bound for the bytes that wait for slow readers, callers and servers, on all connections of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Unread {
+    /// Most bytes that wait.
+    pub bytes: usize,
+    /// Longest time in which a reader takes nothing.
+    pub silence: Duration,
+}
+
 impl Settings {
     /// Parses the settings from `text`, the content of `file`.
     ///
@@ -100,6 +113,10 @@
             idle: r.millis("limits", "idle_ms", 100, 3_600_000, 60_000),
             write: r.millis("limits", "write_ms", 100, 600_000, 10_000),
         };
+        let unread = Unread {
+            bytes: r.number("limits", "unread_bytes", 0, 1 << 36, 0) as usize,
+            silence: r.millis("limits", "unread_ms", 100, 600_000, 4_000),
+        };
         let control = r.addr("listen", "control");
         let appends = r.number("log", "appends_per_s", 1, 100_000, 200);
         let appends = appends * r.number("log", "job_appends_percent", 1, 100, 100) / 100;
@@ -120,6 +137,8 @@
             metrics: r.optional_addr("metrics", "listen"),
             statsd: r.optional_addr("metrics", "statsd"),
             bounds,
+            unread: (unread.bytes > 0).then_some(unread),
+            contracts: r.names("platform", "contracts"),
             deadline: r.millis("limits", "deadline_ms", 100, 3_600_000, 60_000),
             linger: r.millis("stop", "linger_ms", 0, 600_000, 2_000),
             drain: r.millis("stop", "drain_ms", 0, 3_600_000, 120_000),
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -99,6 +99,17 @@
             .unwrap_or_default()
     }
 
+    /// Names separated by commas; none if the key is not given.
+    pub fn names(&mut self, section: &str, key: &str) -> Vec<Name> {
+        let allowed = "names of letters, digits, \"-\", \"_\" and \".\", separated by commas";
+        let parse = |text: &str| {
+            let names = text.split(',').map(str::trim).filter(|n| !n.is_empty());
+            let names = names.map(|n| is_name(n).then(|| n.into()));
+            names.collect()
+        };
+        self.parse(section, key, allowed, parse).unwrap_or_default()
+    }
+
     /// A decimal number in `min..=max`; `default` if it is not given.
     pub fn decimal(&mut self, section: &str, key: &str, min: f64, max: f64, default: f64) -> f64 {
         let allowed = format!("a number from {min} to {max}");
--- a/tests/settings_parse.rs
+++ b/tests/settings_parse.rs
@@ -95,3 +95,22 @@
     let found = problems("[host]\nname = h1\n[listen\n");
     assert!(found.iter().any(|l| l.contains("line=3")), "{found:#?}");
 }
+
+#[test]
+fn parse_unread_bound_and_contracts() {
+    let settings = Settings::parse("f.ini", GOOD).expect("valid");
+    assert!(settings.unread.is_none() && settings.contracts.is_empty());
+    let text = GOOD.to_string() + "contracts = a, b-c,\n[limits]\nunread_bytes = 4096\n";
+    let settings = Settings::parse("f.ini", &text).expect("valid");
+    let unread = settings.unread.expect("a bound");
+    assert_eq!(
+        (unread.bytes, unread.silence),
+        (4096, Duration::from_secs(4))
+    );
+    assert_eq!(settings.contracts, ["a".into(), "b-c".into()]);
+    let found = problems(&(GOOD.to_string() + "contracts = a b\n"));
+    assert!(
+        found.len() == 1 && found[0].contains("contracts"),
+        "{found:?}"
+    );
+}
