--- a/src/http/bounded.rs
+++ b/src/http/bounded.rs
@@ -20,8 +20,6 @@
     limit: u64,
     /// Bytes that the answer to the current request may still have.
     left: u64,
-    /// Whether a write of the current request failed.
-    is_cut: bool,
 }
 
 impl<T: Transport> Connector<T> for BoundedConnector {
@@ -36,7 +34,6 @@
             inner,
             limit: self.limit,
             left: self.limit,
-            is_cut: false,
         }))
     }
 }
@@ -48,18 +45,12 @@
 
     fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
         self.left = self.limit;
-        let result = self.inner.transmit_output(amount, timeout);
-        self.is_cut = result.is_err();
-        result
+        self.inner.transmit_output(amount, timeout)
     }
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
         let before = self.inner.buffers().input().len();
         let is_more = self.inner.await_input(timeout).map_err(plain)?;
-        // The failed write has taken the socket's error, so that the reset looks like an orderly end.
-        if !is_more && self.is_cut {
-            return Err(io::Error::other("the connection was reset").into());
-        }
         let arrived = self.inner.buffers().input().len().saturating_sub(before);
         match self.left.checked_sub(arrived as u64) {
             Some(left) => self.left = left,
