gooseberrytack check: review a file of declarations before it is sent

Cause: diff and apply show what would change, and only the fleet itself said what would be refused; nothing told entries without effect.

One line a finding; exit codes 0, 1 and 2.

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -5,7 +5,7 @@
 
 /// Operates a fleet of gooseberrytack hosts.
 ///
-/// Exit codes: 0 done, 1 failed, 2 invalid command line or file, 3 refused, 4 conflicting change,
+/// Exit codes: 0 done, 1 failed or, for check, findings, 2 invalid command line or file, 3 refused, 4 conflicting change,
 /// 5 no host reachable, 6 log down or overloaded: try later, 7 outcome unknown: repeat with the
 /// same --change, 8 not in force everywhere in time, 9 not found, 10 declarations differ.
 #[derive(FromArgs, Debug)]
@@ -42,6 +42,8 @@
     Apply(Apply),
     /// Compares a file of declarations with the configuration in force.
     Diff(Diff),
+    /// Reviews a file of declarations.
+    Check(Check),
     /// Waits for a revision to be in force everywhere.
     Wait(Wait),
     /// Shows the merged timeline of all hosts.
@@ -188,6 +190,17 @@
     pub prune: bool,
 }
 
+/// Review a file of declarations without making changes, one line a finding: what would be refused, has no
+/// effect or contradicts another limit; with --host also what differs from the configuration in force. Exits
+/// with 0 if there is none, 1 if there are any, 2 if the file is not readable.
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "check")]
+pub struct Check {
+    /// file of declarations (INI)
+    #[argh(positional)]
+    pub file: String,
+}
+
 /// Wait until every live host reports a revision; list those that do not.
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "wait")]
--- a/src/cli/declare.rs
+++ b/src/cli/declare.rs
@@ -2,13 +2,13 @@
 
 use super::{
     CliError, Exit,
-    args::{Apply, Diff},
+    args::{Apply, Check, Diff},
     client::{Hosts, with_query},
     objects::{new_change, submit},
     output::{print, print_applied},
 };
 use crate::{
-    config::{self, Edit, Object, ObjectId, State},
+    config::{self, Declaration, Edit, Object, ObjectId, State},
     control::{Applied, Listing},
     wire::Name,
 };
@@ -52,6 +52,22 @@
     submit(hosts, json, "POST", &path, &body, &change)
 }
 
+/// Reviews a file of declarations, on top of the configuration in force if hosts are given.
+pub fn check(hosts: Option<&Hosts>, json: bool, args: &Check) -> Result<Exit, CliError> {
+    let wanted = read(&args.file, "", "operator")?;
+    let state = match hosts {
+        Some(hosts) => Some(state_of(hosts.request("GET", "/control/state", &[])?)),
+        None => None,
+    };
+    let found = config::review(state.as_ref(), &wanted);
+    let lines: Vec<String> = found.iter().map(ToString::to_string).collect();
+    print(json, &lines, |l| l.iter().for_each(|l| println!("{l}")));
+    Ok(match found.is_empty() {
+        true => Exit::Done,
+        false => Exit::Failed,
+    })
+}
+
 fn plan(
     hosts: &Hosts,
     file: &str,
@@ -59,6 +75,14 @@
     reason: &str,
     author: &str,
 ) -> Result<(State, Vec<Edit>), CliError> {
+    let wanted = read(file, reason, author)?;
+    let listing: Listing = hosts.request("GET", "/control/state", &[])?;
+    let state = state_of(listing);
+    let edits = config::plan(&state, &wanted, prune);
+    Ok((state, edits))
+}
+
+fn read(file: &str, reason: &str, author: &str) -> Result<Vec<Declaration>, CliError> {
     let text = fs::read_to_string(file)
         .map_err(|e| CliError::new(Exit::Usage, format!("cannot read \"{file}\": {e}")))?;
     let mut wanted = config::read_file(&text).map_err(|faults| {
@@ -70,13 +94,10 @@
     })?;
     let (reason, author): (Name, Name) = (reason.into(), author.into());
     wanted.iter_mut().for_each(|d| d.fill_in(&reason, &author));
-    let listing: Listing = hosts.request("GET", "/control/state", &[])?;
-    let state = state_of(listing);
-    let edits = config::plan(&state, &wanted, prune);
-    Ok((state, edits))
+    Ok(wanted)
 }
 
-/// A state with the objects of a listing, as far as `config::plan` reads it.
+/// A state with the objects of a listing, as far as `config::plan` and `config::review` read it.
 fn state_of(listing: Listing) -> State {
     let mut objects: Vec<Object> = listing
         .objects
--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -9,7 +9,7 @@
 pub enum Exit {
     /// The command succeeded.
     Done = 0,
-    /// The tool or a host failed.
+    /// The tool or a host failed, or a review has findings.
     Failed = 1,
     /// The command line or a file is not valid.
     Usage = 2,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -17,6 +17,12 @@
 /// Runs the command of `args` and prints its result, or its error to standard error.
 pub fn run(args: Args) -> Exit {
     let json = args.json;
+    if let Command::Check(c) = &args.command
+        && args.host.is_empty()
+    {
+        let result = declare::check(None, json, c);
+        return result.unwrap_or_else(|error| error.report(json));
+    }
     let hosts = match Hosts::new(&args.host, args.token.as_deref()) {
         Ok(hosts) => hosts,
         Err(error) => return error.report(json),
@@ -29,6 +35,7 @@
         Command::Drain(c) => objects::drain(&hosts, json, &c),
         Command::Apply(c) => declare::apply(&hosts, json, &c),
         Command::Diff(c) => declare::diff(&hosts, json, &c),
+        Command::Check(c) => declare::check(Some(&hosts), json, &c),
         Command::Wait(c) => watch::wait(&hosts, json, &c),
         Command::Timeline(c) => watch::timeline(&hosts, json, &c),
         Command::Status(c) => watch::status(&hosts, json, &c),
--- a/src/config/fold.rs
+++ b/src/config/fold.rs
@@ -185,7 +185,7 @@
     }
 
     /// Rebuilds the entries of the derived lists that depend on the object `id`.
-    fn refresh(&mut self, id: &ObjectId) {
+    pub(super) fn refresh(&mut self, id: &ObjectId) {
         match id.sort {
             Sort::Workspace => self.refresh_workspace(&id.name),
             Sort::Key => self.refresh_key(&id.name),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -10,6 +10,7 @@
 mod peer_state;
 mod plan;
 mod record;
+mod review;
 mod types;
 
 pub use apply::{apply, error_of, result_of};
@@ -21,4 +22,5 @@
 pub use fold::digest;
 pub use plan::{edits_for, edits_to_withdraw};
 pub use record::*;
+pub use review::{Finding, review, review_state};
 pub use types::*;
--- a/src/config/review.rs
+++ b/src/config/review.rs
@@ -33,7 +33,8 @@
     }
 }
 
-/// Reviews the declarations `wanted` on top of the configuration `in_force`; without one, by themselves.
+/// Reviews the declarations `wanted` on top of the objects of the configuration `in_force`; without one, by
+/// themselves.
 /// Entries of a configuration that would be refused are not reviewed further.
 pub fn review(in_force: Option<&State>, wanted: &[Declaration]) -> Vec<Finding> {
     let empty = State::default();
@@ -45,15 +46,19 @@
         None => Vec::new(),
     };
     let mut after = before.clone();
+    // A listing of the configuration in force has only objects.
+    before.objects.iter().for_each(|o| after.refresh(&o.id));
     if !edits.is_empty() {
         let mut change = Change::new(CHANGE, "operator", "");
         change.edits = edits;
         after.apply(before.revision + 1, &Record::Change(change));
     }
     match after.outcome(CHANGE).map(|o| &o.verdict) {
-        Some(Verdict::Refused(faults)) => found.extend(faults.iter().map(|f| {
-            Finding::Invalid(format!("{} field \"{}\": {}", f.id, f.field, f.text))
-        })),
+        Some(Verdict::Refused(faults)) => found.extend(
+            faults
+                .iter()
+                .map(|f| Finding::Invalid(format!("{} field \"{}\": {}", f.id, f.field, f.text))),
+        ),
         _ => found.extend(review_state(&after)),
     }
     found
@@ -64,7 +69,10 @@
     let mut found = Vec::new();
     for route in &state.routes {
         if let Some(by) = covering(&state.routes, route) {
-            let text = format!("route {}: {} leads all its paths to the same addresses", route.path, by.path);
+            let text = format!(
+                "route {}: {} leads all its paths to the same addresses",
+                route.path, by.path
+            );
             found.push(Finding::Unused(text));
         }
     }
@@ -77,8 +85,15 @@
     for pass in &state.passes {
         review_pass(&mut found, state, pass);
     }
-    for workspace in state.workspaces.iter().filter(|w| w.rate > 0 && w.burst == 0) {
-        let text = format!("workspace {}: burst 0 admits nothing of rate {}", workspace.name, workspace.rate);
+    for workspace in state
+        .workspaces
+        .iter()
+        .filter(|w| w.rate > 0 && w.burst == 0)
+    {
+        let text = format!(
+            "workspace {}: burst 0 admits nothing of rate {}",
+            workspace.name, workspace.rate
+        );
         found.push(Finding::Limits(text));
     }
     found
@@ -87,12 +102,20 @@
 fn review_pass(found: &mut Vec<Finding>, state: &State, pass: &PassRoute) {
     let name = format!("route {}{}", pass.host, pass.prefix);
     let shorter = state.passes.iter().filter(|r| {
-        r.host == pass.host && r.prefix.len() < pass.prefix.len() && pass.prefix.starts_with(&*r.prefix)
+        r.host == pass.host
+            && r.prefix.len() < pass.prefix.len()
+            && pass.prefix.starts_with(&*r.prefix)
     });
     if let Some(by) = shorter.max_by_key(|r| r.prefix.len())
-        && (PassRoute { prefix: pass.prefix.clone(), ..(**by).clone() }) == *pass
+        && (PassRoute {
+            prefix: pass.prefix.clone(),
+            ..(**by).clone()
+        }) == *pass
     {
-        let text = format!("{name}: {} leads all its paths to the same target", by.prefix);
+        let text = format!(
+            "{name}: {} leads all its paths to the same target",
+            by.prefix
+        );
         found.push(Finding::Unused(text));
     }
     for target in &pass.targets {
@@ -123,6 +146,8 @@
     };
     let by = routes.iter().filter(covers).max_by_key(|r| r.path.len())?;
     let has = |r: &Route, s: &Route| s.addrs.iter().all(|a| r.addrs.contains(a));
-    let is_same = has(by, route) && has(route, by) && (by.open, by.repeatable) == (route.open, route.repeatable);
+    let is_same = has(by, route)
+        && has(route, by)
+        && (by.open, by.repeatable) == (route.open, route.repeatable);
     is_same.then_some(by)
 }
--- a/tests/cli_tool.rs
+++ b/tests/cli_tool.rs
@@ -173,3 +173,44 @@
     let bad = file("bad.ini", "[workspace a]\ncolour = red\n[thing b]\n");
     assert_eq!(exit(&["apply", bad.to_str().expect("path")]), 2);
 }
+
+#[test]
+fn check_reviews_file_without_host() {
+    let run = |text: &str| {
+        let path = file("check.ini", text);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_gooseberrytack"));
+        let output = command.arg("check").arg(&path).output();
+        let output = output.expect("the tool runs");
+        let lines = String::from_utf8(output.stdout.clone()).expect("text");
+        (code(&output), lines.lines().count(), lines)
+    };
+    assert_eq!(run(FLEET).0, 0, "{:?}", run(FLEET));
+    let idle = FLEET.to_string() + "\n[model idle]\nversion = 1\n[model other]\nversion = 1\n";
+    let (code, count, lines) = run(&idle);
+    assert_eq!((code, count), (1, 2), "{lines}");
+    assert!(lines.contains("idle") && lines.contains("other"), "{lines}");
+    assert_eq!(run("[nothing]\nx = 1\n").0, 2);
+}
+
+#[test]
+fn check_tells_differences_from_version_in_force() {
+    let harness = Harness::bare(Plan {
+        hosts: 1,
+        ..Plan::default()
+    });
+    let hosts = [harness.host(0).control];
+    let path = file("check-differs.ini", FLEET);
+    let path = path.to_str().expect("path");
+    let output = tool(&hosts, &["check", path]);
+    let lines: Vec<String> = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(code(&output), 1, "{lines:?}");
+    assert!(
+        lines
+            .iter()
+            .any(|l| l.starts_with("differs: + workspaces/desk")),
+        "{lines:?}"
+    );
+    must(&hosts, &["apply", path, "--author", "ada"]);
+    assert_eq!(must(&hosts, &["check", path]), serde_json::json!([]));
+    assert_eq!(code(&tool(&[], &["check", path])), 5);
+}
--- a/tests/config_review.rs
+++ b/tests/config_review.rs
@@ -1,8 +1,12 @@
 //! A review of a configuration reports faults, entries without effect and contradictory limits, and nothing
 //! for a configuration without them.
 
-use gooseberrytack::config::{
-    Finding, PassKind, PassRoute, Server, State, Target, Workspace, read_file, review, review_state,
+use gooseberrytack::{
+    config::{
+        Change, Finding, PassKind, PassRoute, Record, Server, State, Target, Workspace, plan,
+        read_file, review, review_state,
+    },
+    fold::Fold,
 };
 use std::{sync::Arc, time::Duration};
 
@@ -11,7 +15,10 @@
 
 fn found(more: &str) -> Vec<String> {
     let wanted = read_file(&(GOOD.to_string() + more)).expect("declarations");
-    review(None, &wanted).iter().map(ToString::to_string).collect()
+    review(None, &wanted)
+        .iter()
+        .map(ToString::to_string)
+        .collect()
 }
 
 #[test]
@@ -22,7 +29,10 @@
 #[test]
 fn review_names_faults() {
     let lines = found("[server t]\naddr = 127.0.0.1:6\ndomain = d\nmodels = gone\n");
-    assert!(lines.len() == 1 && lines[0].starts_with("invalid: "), "{lines:?}");
+    assert!(
+        lines.len() == 1 && lines[0].starts_with("invalid: "),
+        "{lines:?}"
+    );
     assert!(lines[0].contains("gone"), "{lines:?}");
 }
 
@@ -30,7 +40,10 @@
 fn review_names_entries_without_effect() {
     let lines = found("[model idle]\nversion = 1\n[route /svc/same]\naddrs = 127.0.0.1:8\n");
     assert_eq!(lines.len(), 2, "{lines:?}");
-    assert!(lines[0].starts_with("unused: route /svc/same: /svc "), "{lines:?}");
+    assert!(
+        lines[0].starts_with("unused: route /svc/same: /svc "),
+        "{lines:?}"
+    );
     assert!(lines[1].contains("idle"), "{lines:?}");
 }
 
@@ -45,7 +58,30 @@
     let wanted = read_file(GOOD).expect("declarations");
     let found = review(Some(&State::default()), &wanted);
     assert_eq!(found.len(), wanted.len());
-    assert!(found.iter().all(|f| matches!(f, Finding::Differs(_))), "{found:?}");
+    assert!(
+        found.iter().all(|f| matches!(f, Finding::Differs(_))),
+        "{found:?}"
+    );
+}
+
+#[test]
+fn review_same_as_in_force_finds_nothing() {
+    let wanted = read_file(GOOD).expect("declarations");
+    let mut change = Change::new("c", "ada", "");
+    change.edits = plan(&State::default(), &wanted, false);
+    let mut state = State::default();
+    state.apply(7, &Record::Change(change));
+    // What the operators' port lists.
+    let listed = State {
+        revision: state.revision,
+        objects: state.objects,
+        ..State::default()
+    };
+    assert_eq!(review(Some(&listed), &wanted), []);
+    // A part of the declarations relies on the rest in force.
+    let part = read_file("[model m]\nversion = 2\n").expect("declarations");
+    let found = review(Some(&listed), &part);
+    assert!(matches!(&found[..], [Finding::Differs(_)]), "{found:?}");
 }
 
 fn pass(prefix: &str, service: &str) -> PassRoute {
@@ -53,7 +89,10 @@
         host: "h".into(),
         prefix: prefix.into(),
         kind: PassKind::Stream,
-        targets: vec![Target { service: service.into(), weight: 1 }],
+        targets: vec![Target {
+            service: service.into(),
+            weight: 1,
+        }],
         timeout: Duration::from_secs(5),
         aim: Duration::from_millis(300),
         attempts: 1,
@@ -77,18 +116,37 @@
         start: 0,
         software: "".into(),
     };
-    let workspace = Workspace { name: "w".into(), weight: 1, rate: 60, burst: 1 };
+    let workspace = Workspace {
+        name: "w".into(),
+        weight: 1,
+        rate: 60,
+        burst: 1,
+    };
     let mut state = State {
         servers: vec![server],
         workspaces: vec![workspace],
-        passes: vec![Arc::new(pass("/", "s")), Arc::new(PassRoute { attempts: 2, ..pass("/a/", "s") })],
+        passes: vec![
+            Arc::new(pass("/", "s")),
+            Arc::new(PassRoute {
+                attempts: 2,
+                ..pass("/a/", "s")
+            }),
+        ],
         ..State::default()
     };
     assert!(review_state(&state).is_empty());
-    let short = PassRoute { timeout: Duration::from_millis(200), ..pass("/c/", "s") };
-    state.passes.extend([pass("/b/", "s"), pass("/d/", "gone"), short].map(Arc::new));
+    let short = PassRoute {
+        timeout: Duration::from_millis(200),
+        ..pass("/c/", "s")
+    };
+    state
+        .passes
+        .extend([pass("/b/", "s"), pass("/d/", "gone"), short].map(Arc::new));
     state.workspaces[0].burst = 0;
-    let found: Vec<String> = review_state(&state).iter().map(ToString::to_string).collect();
+    let found: Vec<String> = review_state(&state)
+        .iter()
+        .map(ToString::to_string)
+        .collect();
     assert_eq!(found.len(), 4, "{found:?}");
     assert!(found[0].starts_with("unused: route h/b/"), "{found:?}");
     assert!(found[1].starts_with("unused: route h/d/"), "{found:?}");
