Pages of results leave no copies while they wait for slow callers; memory beside unread pages

Cause: a page's items and its JSON stayed in memory beside the bytes to send while a slow caller read them.

--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -148,7 +148,7 @@
     /// Sends `value` as JSON.
     pub fn json<T: Serialize>(&mut self, status: u16, value: &T) -> io::Result<()> {
         let body = serde_json::to_vec(value).map_err(io::Error::other)?;
-        self.send(status, "application/json", &body)
+        self.send_with(status, &[("content-type", "application/json")], body)
     }
 
     /// Sends the error answer for `fail`, or closes the connection if an answer was already begun.
