--- a/src/http/bounded.rs
+++ b/src/http/bounded.rs
@@ -50,7 +50,7 @@
 
     fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
         let before = self.inner.buffers().input().len();
-        let is_more = self.inner.await_input(timeout)?;
+        let is_more = self.inner.await_input(timeout).map_err(plain)?;
         let arrived = self.inner.buffers().input().len().saturating_sub(before);
         match self.left.checked_sub(arrived as u64) {
             Some(left) => self.left = left,
@@ -70,3 +70,12 @@
         self.inner.is_tls()
     }
 }
+
+/// The error with a kind that `ureq` does not know: it takes a reset for the orderly end of an answer without
+/// a length.
+fn plain(error: Error) -> Error {
+    match error {
+        Error::Io(e) if e.kind() != ErrorKind::TimedOut => io::Error::other(e).into(),
+        other => other,
+    }
+}
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -1,7 +1,8 @@
 //! The HTTP client, on `ureq`.
 
 use super::{
-    agents::Agents, bounded::BoundedConnector, budget::Budget, filter::Filter, resolver::IpResolver,
+    agents::Agents, bounded::BoundedConnector, budget::Budget, filter::Filter, request::is_status,
+    resolver::IpResolver,
 };
 use std::{
     fmt,
@@ -312,6 +313,10 @@
             .map(|r| agent.run(configure(agent, r, limits)))
     };
     match built {
+        Ok(Ok(r)) if !is_status(r.status().as_u16()) => Err(SendError {
+            sent: true,
+            text: format!("the status {} is not in 100 to 599", r.status().as_u16()),
+        }),
         Ok(result) => result.map_err(|e| SendError {
             sent: may_be_sent(&e),
             text: e.to_string(),
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -83,6 +83,10 @@
     pub homes_age: Gauge,
     /// Slots that the gates of the host keep free of batch work, those that online requests hold included.
     pub headroom: Gauge,
+    /// Bytes that wait for slow readers.
+    pub unread: Gauge,
+    /// Connections closed since the start because their readers were slow.
+    pub slow: Gauge,
     /// Log lines dropped since the start because they could not be written fast enough.
     pub dropped: Gauge,
 }
@@ -157,6 +161,12 @@
             ("jobs_age_ms", "Age of the last reading", &gauges.jobs_age),
             ("homes_age_ms", "Age of the last reading", &gauges.homes_age),
             ("headroom_slots", "Slots kept for online", &gauges.headroom),
+            (
+                "unread_bytes",
+                "Bytes waiting for slow readers",
+                &gauges.unread,
+            ),
+            ("slow_readers_closed", "Connections closed", &gauges.slow),
             ("log_lines_dropped", "Log lines dropped", &gauges.dropped),
         ] {
             to.register(name, help, metric.clone());
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -88,6 +88,10 @@
     gauges.jobs_age.set(ages.max().unwrap_or(0));
     gauges.streams.set(streams.len() as i64);
     gauges.headroom.set(i64::from(host.gates.queues.headroom()));
+    if let Some(readers) = host.passing.readers() {
+        gauges.unread.set(readers.held() as i64);
+        gauges.slow.set(readers.closed() as i64);
+    }
     gauges.dropped.set(logs::dropped() as i64);
 }
 
--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -4,23 +4,34 @@
 //! bytes after an answer cannot be taken for part of the next one.
 
 use super::{Body, Framing, Head};
+use crate::http::{SlowReaders, is_status};
+use socket2::SockRef;
 use std::{
+    cell::Cell,
     io::{self, ErrorKind, Read, Write},
     net::{Shutdown, SocketAddr, TcpStream},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    thread,
     time::{Duration, Instant},
 };
 
 const READ_BYTES: usize = 8 * 1024;
 /// Most bytes before the body of an answer, interim (1xx) answers included.
 const HEAD_MAX_BYTES: usize = 32 * 1024;
+/// Largest body that is copied behind its head.
+const COPY_MAX_BYTES: usize = 64 * 1024;
 /// Most header fields in an answer.
 const FIELDS_MAX: usize = 64;
 /// Longest time that one write may block.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time after the end of an answer without a length in which a reset shows that the server did not read the
+/// whole body of the request. It follows within a round trip, of about 1 ms between failure domains.
+const RESET_WAIT: Duration = Duration::from_millis(10);
+/// Interval at which that time is checked for a reset.
+const RESET_CHECK_EVERY: Duration = Duration::from_millis(1);
 
 /// A connection to a server for one request. Dropping it closes the connection, which makes the server
 /// cancel the request.
@@ -39,6 +50,10 @@
     body: Option<Body>,
     is_unframed: bool,
     is_truncated: bool,
+    /// Whether the request has a body.
+    has_body: Cell<bool>,
+    /// The host's bound for slow readers, if there is one.
+    readers: Option<SlowReaders>,
 }
 
 /// Closes a connection from another thread.
@@ -91,9 +106,20 @@
             body: None,
             is_unframed: false,
             is_truncated: false,
+            has_body: Cell::new(false),
+            readers: None,
         })
     }
 
+    /// Counts the bytes of the request against the host's bound for slow readers.
+    ///
+    /// # Errors
+    /// The socket cannot be set up.
+    pub fn bound(&mut self, readers: &SlowReaders) -> io::Result<()> {
+        self.readers = Some(readers.clone());
+        readers.prepare(&self.stream)
+    }
+
     /// A handle by which another thread can close the connection.
     pub fn closer(&self) -> Closer {
         Closer {
@@ -122,16 +148,27 @@
     /// # Errors
     /// The connection failed; the server may have the request.
     pub fn send(&mut self, head: &str, body: &[u8]) -> io::Result<()> {
-        let mut bytes = Vec::with_capacity(head.len() + body.len());
-        bytes.extend_from_slice(head.as_bytes());
-        bytes.extend_from_slice(body);
-        let sent = (&*self.stream).write_all(&bytes);
+        self.has_body.set(!body.is_empty());
+        // One segment for a small request, and no copy of a large one.
+        let sent = match body.len() > COPY_MAX_BYTES {
+            true => self
+                .write_all(head.as_bytes())
+                .and_then(|()| self.write_all(body)),
+            false => self.write_all(&[head.as_bytes(), body].concat()),
+        };
         if let Err(e) = &sent {
             self.note_failed(e.kind());
         }
         sent
     }
 
+    fn write_all(&self, bytes: &[u8]) -> io::Result<()> {
+        match &self.readers {
+            Some(readers) => readers.write_all(&self.stream, bytes, WRITE_TIMEOUT),
+            None => (&*self.stream).write_all(bytes),
+        }
+    }
+
     /// Reads the head of the answer, waiting for `limit` at most.
     ///
     /// # Errors
@@ -169,6 +206,9 @@
             // The end of the input is the server's only if this host did not close the connection.
             let is_servers = !self.is_closed.load(Ordering::SeqCst);
             let whole = is_servers && self.body.as_mut().is_some_and(Body::end);
+            if whole && self.is_unframed && self.is_reset() {
+                return Err(broken("the server did not read the whole request"));
+            }
             return match whole {
                 true => Ok(false),
                 false => {
@@ -187,6 +227,27 @@
         }
     }
 
+    /// Whether the connection is reset at the end of its input. A server that closes a connection with
+    /// unread bytes resets it, also if it ended its output before.
+    fn is_reset(&self) -> bool {
+        let socket = SockRef::from(&*self.stream);
+        let wait = if self.has_body.get() {
+            RESET_WAIT
+        } else {
+            Duration::ZERO
+        };
+        let end = Instant::now() + wait;
+        loop {
+            if !matches!(socket.take_error(), Ok(None)) {
+                return true;
+            }
+            if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(RESET_CHECK_EVERY);
+        }
+    }
+
     fn fill(&mut self, limit: Duration) -> Result<usize, ReadError> {
         let limit = limit.max(Duration::from_millis(1));
         let mut bytes = [0; READ_BYTES];
@@ -257,12 +318,18 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(e) => return Err(broken(&format!("the answer is not valid HTTP: {e}"))),
     };
+    let status = parsed.code.unwrap_or(0);
+    if !is_status(status) {
+        return Err(broken(&format!(
+            "the status {status:03} of the answer is not in 100 to 599"
+        )));
+    }
     let named = parsed.headers.iter().map(|f| {
         let value = String::from_utf8_lossy(f.value).trim().to_string();
         (f.name.to_ascii_lowercase(), value)
     });
     let head = Head {
-        status: parsed.code.unwrap_or(0),
+        status,
         fields: named.collect(),
     };
     Ok(Some((head, size)))
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -48,7 +48,7 @@
         let left = self.work.deadline.saturating_sub(host.now());
         let limit = CONNECT_TIMEOUT.min(left);
         let began = host.now();
-        let mut conn = Conn::open(attempt.addr, limit).map_err(|e| {
+        let mut conn = host.passing.open(attempt.addr, limit).map_err(|e| {
             let took = host.now().saturating_sub(began);
             self.may_have_restarted = connect_suggests_restart(e.kind(), limit, took);
             Abort::Failed(Fail::new(Kind::Unreachable, format!("backend server: {e}")))
@@ -323,7 +323,7 @@
         }
         if head.status < 400 {
             self.host.note_answered(&self.segments, &slot.id);
-            self.sink.whole(head, &body).map_err(Abort::Final)?;
+            self.sink.whole(head, body).map_err(Abort::Final)?;
             return Ok(self.answer(slot));
         }
         self.sink.failed(head, body);
--- a/tests/settings_parse.rs
+++ b/tests/settings_parse.rs
@@ -109,6 +109,7 @@
     );
     let found = problems(&text.replace("97", "101"));
     assert!(found[0].contains("key=headroom_percent value=\"101\""));
+}
 
 /// Reports of used tokens double the messages of most requests, so they are off unless enabled.
 #[test]
@@ -126,3 +127,22 @@
             .contains("key=report_used value=\"2\"")
     );
 }
+
+#[test]
+fn parse_unread_bound_and_contracts() {
+    let settings = Settings::parse("f.ini", GOOD).expect("valid");
+    assert!(settings.unread.is_none() && settings.contracts.is_empty());
+    let text = GOOD.to_string() + "contracts = a, b-c,\n[limits]\nunread_bytes = 4096\n";
+    let settings = Settings::parse("f.ini", &text).expect("valid");
+    let unread = settings.unread.expect("a bound");
+    assert_eq!(
+        (unread.bytes, unread.silence),
+        (4096, Duration::from_secs(4))
+    );
+    assert_eq!(settings.contracts, ["a".into(), "b-c".into()]);
+    let found = problems(&(GOOD.to_string() + "contracts = a b\n"));
+    assert!(
+        found.len() == 1 && found[0].contains("contracts"),
+        "{found:?}"
+    );
+}
