Learn speeds and concurrency limits of servers at their gates

Servers were compared by online requests per slot only, so that slow ones got as many as fast ones, and nothing measured whether a server slows down before it is full. Holders of slots now tell the gate what they observed of each attempt, in the message that releases its slot; the gate learns a speed and a concurrency limit; hosts order servers by the expected time to the first and the last event. All of it is off unless [gate] learn = 1.

--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -5,6 +5,7 @@
     cancel::Preempted,
     gate_key,
     hold::OWNERS,
+    learned::Learned,
     limit::{self, Confirmation, Role},
     queue::Queue,
     slot::{Counts, Effects, SlotRequest, Verdict},
@@ -60,6 +61,8 @@
     owned_since: Option<Time>,
     /// Whether the limit that the server stated is still in force.
     confirmation: Confirmation,
+    /// Its speed and concurrency limit, if the host learns them.
+    pub(super) learned: Learned,
 }
 
 #[derive(Debug)]
@@ -159,6 +162,7 @@
         inner.queue.resize(server.slots);
         inner.note_ownership(is_owner, host.now());
         inner.follow_limit(host, &server, &call.request.holder);
+        inner.follow_learned(host, &server);
         if request.class == Class::Batch {
             inner.queue.note_served(&request.workspace, call.served);
         }
@@ -171,6 +175,7 @@
             };
             (inner, verdict) = waited;
         }
+        inner.note_running(host);
         if verdict == Verdict::Granted && request.class == Class::Online {
             host.note_granted_stream(request, &server.software);
         }
@@ -248,6 +253,7 @@
                 }
                 false => inner.queue.release_unsent(host.now(), &slot.id),
             };
+            inner.note_running(host);
             self.apply(&gate, &inner, effects);
             inner.queue.counts()
         });
@@ -312,6 +318,7 @@
             let mut inner = gate.lock();
             inner.queue.expire(host.now());
             let effects = inner.queue.serve(host.now());
+            inner.note_running(host);
             self.apply(&gate, &inner, effects);
         }
     }
@@ -329,7 +336,7 @@
 
     /// Counts of every server that has a gate on this host.
     pub fn counts(&self) -> Vec<(Name, Counts)> {
-        let all = self.gates.lock().expect("gates").clone();
+        let all = self.all();
         let counts = |g: &Arc<Gate>| (g.server.clone(), g.lock().queue.counts());
         all.iter().map(counts).collect()
     }
@@ -348,7 +355,11 @@
         self.preempted.notify_all();
     }
 
-    fn find(&self, server: &str) -> Option<Arc<Gate>> {
+    pub(super) fn all(&self) -> Vec<Arc<Gate>> {
+        self.gates.lock().expect("gates").clone()
+    }
+
+    pub(super) fn find(&self, server: &str) -> Option<Arc<Gate>> {
         let gates = self.gates.lock().expect("gates");
         let at = gates.binary_search_by(|g| (*g.server).cmp(server)).ok()?;
         Some(gates[at].clone())
@@ -366,6 +377,7 @@
                         waiters: Vec::new(),
                         owned_since: None,
                         confirmation: Confirmation::default(),
+                        learned: Learned::new(server.slots, now),
                     }),
                 });
                 gates.insert(at, gate.clone());
--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -5,6 +5,7 @@
     gate_key,
     grant::weight,
     limit,
+    observe::Observations,
     release::{Outbox, add},
     slot::{Counts, SlotRequest, Verdict},
 };
@@ -37,6 +38,8 @@
     pub(super) slots: Mutex<Vec<GrantedSlot>>,
     pub(super) outbox: Mutex<Outbox>,
     pub(super) queued: Condvar,
+    /// What the gates are to be told with the next releases.
+    pub(super) observations: Mutex<Observations>,
     /// Hosts that failed to answer within the last `DOWN_TIME`.
     down: Mutex<Vec<Down>>,
     /// Service of batch work by workspace.
@@ -278,12 +281,12 @@
         reply.unwrap_or_default().counts
     }
 
-    fn is_down(&self, name: &str, now: Time) -> bool {
+    pub(super) fn is_down(&self, name: &str, now: Time) -> bool {
         let down = self.down.lock().expect("down hosts");
         down.iter().any(|d| *d.name == *name && d.until > now)
     }
 
-    fn mark_down(&self, name: &Name, now: Time) {
+    pub(super) fn mark_down(&self, name: &Name, now: Time) {
         let mut down = self.down.lock().expect("down hosts");
         down.retain(|d| d.until > now && d.name != *name);
         down.push(Down {
--- /dev/null
+++ b/src/gate/learned.rs
@@ -0,0 +1,387 @@
+//! Concurrency limit and speed of one backend server, learned at its gate.
+//!
+//! Addresses servers of one service that differ in speed, share their machines with other work and may
+//! slow down long before all slots are in use. The time between events at each concurrency is a speed,
+//! which changes within a second, times a shape, which hardly changes. By Little's law the throughput at
+//! a concurrency is the concurrency divided by that time; the limit is the least concurrency with nearly
+//! the best throughput. A change of speed alone does not move it.
+
+use crate::{clock::Time, pass::LoadReport};
+use serde::{Deserialize, Serialize};
+use std::{collections::VecDeque, time::Duration};
+
+/// Most levels of concurrency that are told apart; a server with more slots has several in one level.
+const LEVELS_MAX: u32 = 64;
+/// Part of a deviation that is taken over. Six samples take over nine tenths of a change; a server in use
+/// ends about three attempts a second.
+const WEIGHT: f64 = 0.4;
+/// Part of it that goes to the shape if the concurrency is the usual one, and if it is another one.
+const SHAPE_PARTS: (f64, f64) = (0.05, 0.7);
+/// Part of a deviation of the shape that is lost with each level of distance.
+const NEARBY: f64 = 0.5;
+/// Part by which the usual concurrency and the usual percentage of load reports follow.
+const USUAL_WEIGHT: f64 = 0.35;
+/// Distance from the usual concurrency, in levels, at which a deviation is mostly due to the shape.
+const CONTRAST: f64 = 2.0;
+/// Part by which the ratio of the first event to the others follows.
+const FIRST_WEIGHT: f64 = 0.1;
+/// Weight of the first event beside the mean time between events; it depends on the prompt as well.
+const FIRST_SHARE: f64 = 0.25;
+/// Largest deviation of a sample, the logarithm of three: a silence moves nothing by more.
+const DEVIATION_MAX: f64 = 1.1;
+/// Samples before the limit may leave the server's slots, and before the speed is told.
+const SAMPLES_MIN: u32 = 8;
+/// Part of the best throughput at which a lower concurrency suffices.
+const ENOUGH: f64 = 0.92;
+/// Part of the way to its target that the limit moves with a sample.
+const LIMIT_WEIGHT: f64 = 0.2;
+/// Distance from the limit in force at which it changes by one; above a half, so that it does not alternate.
+const HYSTERESIS: f64 = 0.75;
+/// Least time between two changes of the limit.
+const CHANGE_MIN: Duration = Duration::from_millis(250);
+/// Time in which the excess of levels above the concurrency in use fades, so that they are tried again.
+const FORGET: Duration = Duration::from_secs(30);
+/// Time without variation of the concurrency after which the limit is lowered for a while, to compare; it
+/// doubles from the first to the second while the limit stays.
+const PROBE_EVERY: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(64));
+/// Longest time for which it is lowered, and the samples that suffice.
+const PROBE_MAX: Duration = Duration::from_secs(10);
+const PROBE_SAMPLES: u32 = 4;
+/// Span of the history of the concurrency, and most entries of it.
+const HISTORY: Duration = Duration::from_secs(10);
+const HISTORY_MAX: usize = 512;
+/// Age at which a load report says nothing any more. Noisy neighbours come and go within 600 ms.
+const HINT_AGE: Duration = Duration::from_millis(300);
+/// Largest factor by which a load report changes the expected time.
+const HINT_MAX: f64 = 2.0;
+/// Shortest time between events that is told apart.
+const SHORTEST_S: f64 = 1e-6;
+/// Longest time that a sample counts with.
+const LONGEST_S: f64 = 600.0;
+
+/// What the holder of a slot observed of an attempt that ended.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Sample {
+    /// From sending the request to the first event.
+    pub first: Option<Duration>,
+    /// Recent mean time between events.
+    pub gap: Option<Duration>,
+    /// Time before the last event that the mean covers.
+    pub span: Duration,
+    /// Time since the last event.
+    pub age: Duration,
+    /// The newest load report of the server and the time since.
+    pub load: Option<(LoadReport, Duration)>,
+}
+
+/// Speed of a server as its gate estimates it. All times are in microseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Speed {
+    /// Time to the first event with one request running.
+    pub first: u32,
+    /// Time between events with one request running.
+    pub step: u32,
+    /// The same with as many requests as the learned limit.
+    pub knee: u32,
+    /// The same with all slots in use.
+    pub full: u32,
+    /// Learned concurrency limit.
+    pub limit: u32,
+    /// Percentage of the expected time that work takes now by a fresh load report, and the time since in
+    /// milliseconds.
+    pub hint: Option<(u32, u32)>,
+}
+
+/// Trials of a lower concurrency at a server whose concurrency hardly varies.
+#[derive(Debug, Clone, PartialEq)]
+struct Probe {
+    /// End of the trial under way.
+    until: Option<Time>,
+    /// When the next one begins.
+    next: Time,
+    every: Duration,
+    /// Samples at a lower concurrency since the last one.
+    samples: u32,
+    /// Limit after the last one.
+    limit: u32,
+}
+
+/// The estimator of one server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Learned {
+    slots: u32,
+    /// Logarithm of the seconds between events at each concurrency; never falls with it.
+    levels: Vec<f64>,
+    /// Logarithm of the time to the first event by the time between events.
+    first: Option<f64>,
+    samples: u32,
+    sampled_at: Time,
+    limit: f64,
+    applied: u32,
+    changed_at: Time,
+    /// Requests running since each time, oldest first.
+    running: VecDeque<(Time, u32)>,
+    /// Usual level of the samples.
+    usual_at: f64,
+    probe: Probe,
+    /// Mean of the percentages that load reports stated when the samples were taken.
+    usual: f64,
+    report: Option<(LoadReport, Time)>,
+}
+
+impl Learned {
+    /// Knows nothing of a server with `slots` slots, which are its limit; zero counts as one.
+    pub fn new(slots: u32, now: Time) -> Self {
+        let slots = slots.max(1);
+        Self {
+            slots,
+            levels: vec![0.0; slots.min(LEVELS_MAX) as usize],
+            first: None,
+            samples: 0,
+            sampled_at: now,
+            limit: f64::from(slots),
+            applied: slots,
+            changed_at: now,
+            running: VecDeque::new(),
+            usual_at: 0.0,
+            probe: Probe {
+                until: None,
+                next: now + PROBE_EVERY.0,
+                every: PROBE_EVERY.0,
+                samples: 0,
+                limit: slots,
+            },
+            usual: 100.0,
+            report: None,
+        }
+    }
+
+    /// Begins again if the number of slots changed.
+    pub fn resize(&mut self, slots: u32, now: Time) {
+        if slots.max(1) != self.slots {
+            *self = Self::new(slots, now);
+        }
+    }
+
+    /// Least limit of a server with `slots` slots.
+    pub fn floor(slots: u32) -> u32 {
+        (slots / 4).max(2).min(slots.max(1))
+    }
+
+    /// Concurrency limit, from [`Learned::floor`] to the slots.
+    pub fn limit(&self) -> u32 {
+        self.applied
+    }
+
+    /// Requests up to which batch work is granted: the limit, or less during a trial.
+    pub fn batch_limit(&self) -> u32 {
+        let dip = self.probe.until.map_or(0, |_| self.dip());
+        self.applied
+            .saturating_sub(dip)
+            .max(Self::floor(self.slots))
+    }
+
+    fn dip(&self) -> u32 {
+        (self.slots / 4).max(1)
+    }
+
+    /// Records how many requests run from `now` on.
+    pub fn note_running(&mut self, now: Time, count: u32) {
+        if self.running.back().is_some_and(|(_, last)| *last == count) {
+            return;
+        }
+        let is_old = |next: Option<&(Time, u32)>| next.is_some_and(|(at, _)| *at + HISTORY < now);
+        while self.running.len() >= HISTORY_MAX || is_old(self.running.get(1)) {
+            self.running.pop_front();
+        }
+        self.running.push_back((now, count));
+    }
+
+    /// Learns from a sample that arrived at `now`; `true` if the limit changed.
+    pub fn learn(&mut self, now: Time, sample: &Sample) -> bool {
+        if let Some((report, age)) = sample.load {
+            self.note_report(report, now.saturating_sub(age));
+        }
+        let seconds = |time: Duration| time.as_secs_f64().clamp(SHORTEST_S, LONGEST_S).ln();
+        let (gap, first) = (sample.gap.map(seconds), sample.first.map(seconds));
+        let end = now.saturating_sub(sample.age);
+        let at = self.level(self.mean_running(end.saturating_sub(sample.span), end));
+        if self.samples == 0 {
+            // Without a time between events there is nothing to compare with.
+            let Some(gap) = gap else { return false };
+            self.levels.fill(gap);
+            self.usual_at = at as f64;
+        }
+        let level = self.levels[at];
+        let by_gap = gap.map(|gap| gap - level);
+        let by_first = first.zip(self.first).map(|(f, ratio)| f - level - ratio);
+        let deviation = match (by_gap, by_first) {
+            (Some(gap), Some(first)) => gap + FIRST_SHARE * (first - gap),
+            // One value is weaker evidence if it is the first event alone.
+            (None, Some(first)) => FIRST_SHARE * first,
+            (Some(gap), None) => gap,
+            (None, None) => return false,
+        };
+        let deviation = deviation.clamp(-DEVIATION_MAX, DEVIATION_MAX);
+        if let (Some(first), Some(gap)) = (first, gap) {
+            let ratio = first - gap;
+            self.first = Some(self.first.map_or(ratio, |r| r + FIRST_WEIGHT * (ratio - r)));
+        }
+        let idle = now.saturating_sub(self.sampled_at).min(FORGET);
+        self.sampled_at = self.sampled_at.max(now);
+        self.samples = self.samples.saturating_add(1);
+        self.adjust(at, deviation, idle);
+        let percent = self.fresh_percent(now).unwrap_or(100.0);
+        self.usual += USUAL_WEIGHT * (percent - self.usual);
+        let is_changed = self.move_limit(now);
+        self.follow_probe(now, at);
+        is_changed
+    }
+
+    /// Speed to tell to hosts; `None` while too little is known.
+    pub fn speed(&self, now: Time) -> Option<Speed> {
+        if self.samples < SAMPLES_MIN {
+            return None;
+        }
+        let micros = |level: f64| (level.exp() * 1e6).clamp(1.0, f64::from(u32::MAX)) as u32;
+        let (step, full) = (self.levels[0], self.levels[self.levels.len() - 1]);
+        Some(Speed {
+            first: micros(step + self.first.unwrap_or_default()),
+            step: micros(step),
+            knee: micros(self.levels[self.level(f64::from(self.applied))]),
+            full: micros(full),
+            limit: self.applied,
+            hint: self.hint(now),
+        })
+    }
+
+    /// Percentage of the expected time by a fresh load report and its age in milliseconds. It is relative
+    /// to the reports under which the speed was learned, so that nothing counts twice.
+    fn hint(&self, now: Time) -> Option<(u32, u32)> {
+        let percent = self.fresh_percent(now)?;
+        let factor = (percent / self.usual).clamp(1.0 / HINT_MAX, HINT_MAX);
+        let age = now.saturating_sub(self.report?.1);
+        Some(((factor * 100.0) as u32, age.as_millis() as u32))
+    }
+
+    fn fresh_percent(&self, now: Time) -> Option<f64> {
+        let (report, at) = self.report?;
+        let percent = f64::from(report.percent?.clamp(1, 10_000));
+        (now.saturating_sub(at) < HINT_AGE).then_some(percent)
+    }
+
+    /// Records what the server reported at `at`.
+    pub fn note_report(&mut self, report: LoadReport, at: Time) {
+        if self.report.is_none_or(|(_, last)| last <= at) {
+            self.report = Some((report, at));
+        }
+    }
+
+    /// Mean number of requests that ran from `start` to `end`.
+    fn mean_running(&self, start: Time, end: Time) -> f64 {
+        let (mut sum, mut total) = (0.0, 0.0);
+        let mut until = end.max(start + Duration::from_micros(1));
+        for (at, count) in self.running.iter().rev() {
+            let time = until.saturating_sub((*at).max(start)).as_secs_f64();
+            sum += time * f64::from(*count);
+            total += time;
+            until = until.min(*at);
+            if *at <= start {
+                break;
+            }
+        }
+        match total > 0.0 {
+            true => sum / total,
+            false => self.running.front().map_or(1.0, |(_, c)| f64::from(*c)),
+        }
+    }
+
+    /// Index of the level for `running` requests.
+    fn level(&self, running: f64) -> usize {
+        let count = self.levels.len();
+        let at = running * count as f64 / f64::from(self.slots);
+        (at.round() as usize).clamp(1, count) - 1
+    }
+
+    /// Moves all levels with the speed, and `at` and those that it bounds with the shape.
+    fn adjust(&mut self, at: usize, deviation: f64, idle: Duration) {
+        let distance = at as f64 - self.usual_at;
+        self.usual_at += USUAL_WEIGHT * distance;
+        let contrast = (distance.abs() / CONTRAST).min(1.0);
+        let part = SHAPE_PARTS.0 + (SHAPE_PARTS.1 - SHAPE_PARTS.0) * contrast;
+        let (speed, shape) = (WEIGHT * (1.0 - part), WEIGHT * part);
+        let (base, fade) = (self.levels[at], idle.as_secs_f64() / FORGET.as_secs_f64());
+        for (i, level) in self.levels.iter_mut().enumerate() {
+            if i > at {
+                *level -= fade * (*level - base);
+            }
+            let near = (1.0 - NEARBY * i.abs_diff(at) as f64).max(0.0);
+            *level += deviation * (speed + shape * near);
+        }
+        // A server is not slower with fewer requests.
+        for i in at + 1..self.levels.len() {
+            self.levels[i] = self.levels[i].max(self.levels[i - 1]);
+        }
+        for i in (0..at).rev() {
+            self.levels[i] = self.levels[i].min(self.levels[i + 1]);
+        }
+    }
+
+    /// Begins and ends trials of a lower concurrency.
+    fn follow_probe(&mut self, now: Time, at: usize) {
+        let lower = self.level(f64::from(self.applied.saturating_sub(self.dip())));
+        self.probe.samples += u32::from(at <= lower);
+        let is_enough = self.probe.samples >= PROBE_SAMPLES;
+        let probe = &mut self.probe;
+        let is_over = match probe.until {
+            Some(until) => is_enough || now >= until,
+            // The load itself varies enough.
+            None => is_enough && now >= probe.next,
+        };
+        if is_over {
+            probe.every = match probe.limit == self.applied {
+                true => (probe.every * 2).min(PROBE_EVERY.1),
+                false => PROBE_EVERY.0,
+            };
+            probe.limit = self.applied;
+            (probe.until, probe.samples) = (None, 0);
+            probe.next = now + probe.every;
+        } else if probe.until.is_none() && now >= probe.next {
+            probe.until = Some(now + PROBE_MAX);
+        }
+    }
+
+    /// Requests at the level `at` that end in a unit of time, by Little's law.
+    fn throughput(&self, at: usize) -> f64 {
+        (at + 1) as f64 / (self.levels[at] - self.levels[0]).exp()
+    }
+
+    fn move_limit(&mut self, now: Time) -> bool {
+        if self.samples < SAMPLES_MIN {
+            return false;
+        }
+        let count = self.levels.len();
+        let best = (0..count).map(|at| self.throughput(at)).fold(0.0, f64::max);
+        let enough = (0..count).find(|at| self.throughput(*at) >= ENOUGH * best);
+        let target =
+            enough.map_or(count, |at| at + 1) as f64 * f64::from(self.slots) / count as f64;
+        self.limit += LIMIT_WEIGHT * (target - self.limit);
+        let distance = self.limit - f64::from(self.applied);
+        if distance.abs() < HYSTERESIS || now.saturating_sub(self.changed_at) < CHANGE_MIN {
+            return false;
+        }
+        // Upwards one by one, as more is known of lower levels.
+        let next = match distance > 0.0 {
+            true => self
+                .applied
+                .saturating_add((self.slots / LEVELS_MAX).max(1)),
+            false => self
+                .applied
+                .saturating_sub(distance.abs().round().max(1.0) as u32),
+        };
+        let next = next.clamp(Self::floor(self.slots), self.slots);
+        let is_changed = next != self.applied;
+        (self.applied, self.changed_at) = (next, now);
+        is_changed
+    }
+}
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -8,8 +8,10 @@
 mod fleet;
 mod grant;
 mod hold;
+mod learned;
 mod leave;
 mod limit;
+mod observe;
 mod queue;
 mod release;
 mod slot;
@@ -23,7 +25,9 @@
 pub use fleet::{Served, Tags};
 pub use grant::{Queues, WAIT_MAX};
 pub use hold::{Held, Reply, Slot};
+pub use learned::{Learned, Sample, Speed};
 pub use limit::{Confirmation, PROBE_RATE, Role, SHARED_PART};
+pub use observe::{Observed, ObservedReply, ReleaseObserved, ToldSpeed};
 pub use queue::{QUEUE_MAX, Queue, SETTLE, SLOT_LEASE, WAIT_LEASE};
 pub use slot::{Counts, Effects, SlotRequest, Verdict};
 pub use throttle::Throttle;
@@ -46,6 +50,7 @@
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/acquire", handle: acquire },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/release", handle: release },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/unsent", handle: release_unsent },
+            Route { port: Port::Peer, method: "POST", path: "/peer/gate/observed", handle: release_observed },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/renew", handle: renew },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/served", handle: served },
             Route { port: Port::Peer, method: "POST", path: "/peer/gate/yield", handle: end_attempt },
@@ -105,6 +110,13 @@
     })
 }
 
+fn release_observed(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
+    serve_call(host, exchange, |host, call: ReleaseObserved| {
+        let (slots, samples) = (&call.slots, &call.samples);
+        Ok(host.gates.queues.release_observed(host, slots, samples))
+    })
+}
+
 fn renew(host: &Arc<Host>, exchange: &mut Exchange) -> io::Result<()> {
     serve_call(host, exchange, |host, call: Renew| {
         let counts = host.gates.queues.renew(host, &call.slots);
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -27,6 +27,8 @@
 #[derive(Debug, Clone)]
 pub struct Queue {
     slots: u32,
+    /// Requests up to which batch work is granted, and above which online requests preempt it.
+    limits: (u32, u32),
     started: Time,
     /// Sorted by id.
     held: Vec<Held>,
@@ -73,6 +75,7 @@
     pub fn new(slots: u32, now: Time) -> Self {
         Self {
             slots: slots.max(1),
+            limits: (u32::MAX, u32::MAX),
             started: now,
             held: Vec::new(),
             waiting: Vec::new(),
@@ -88,6 +91,12 @@
         self.slots = slots.max(1);
     }
 
+    /// Grants batch work only below `batch` requests, and has online requests preempt it above `all`.
+    /// Online requests still use all slots.
+    pub fn set_limits(&mut self, batch: u32, all: u32) {
+        self.limits = (batch, all);
+    }
+
     /// Grants at most `rate` slots per second from `now` on; any number with `None`.
     pub fn set_rate(&mut self, rate: Option<f64>, now: Time) {
         match (&mut self.throttle, rate) {
@@ -234,6 +243,7 @@
     /// ended the attempt.
     pub fn serve(&mut self, now: Time) -> Effects {
         let mut effects = Effects::default();
+        let mut online = 0;
         while let Some(at) = self.next() {
             let class = self.waiting[at].request.class;
             if !self.has_room(now, class) || !self.take_token(now, class) {
@@ -242,7 +252,10 @@
             let next = self.waiting.remove(at);
             let request = &next.request;
             match class {
-                Class::Online => self.online.serve(next.start),
+                Class::Online => {
+                    online += 1;
+                    self.online.serve(next.start);
+                }
                 Class::Batch => {
                     self.batch
                         .serve(&request.workspace, next.weight, request.cost);
@@ -254,7 +267,7 @@
             let at = self.find(&held.request.id).unwrap_or_else(|at| at);
             self.held.insert(at, held);
         }
-        self.preempt(&mut effects);
+        self.preempt(&mut effects, online);
         effects
     }
 
@@ -308,7 +321,8 @@
                 online.count() < self.slots as usize
             }
             Class::Batch => {
-                self.active().count() < self.slots as usize && now >= self.started + SETTLE
+                let most = self.slots.min(self.limits.0);
+                self.active().count() < most as usize && now >= self.started + SETTLE
             }
         }
     }
@@ -326,10 +340,13 @@
     }
 
     /// Preempts batch attempts until the rest fit the slots. Attempts of the youngest jobs go
-    /// first, so that the jobs of a burst end one after the other instead of all late.
-    fn preempt(&mut self, effects: &mut Effects) {
+    /// first, so that the jobs of a burst end one after the other instead of all late. Above the learned
+    /// limit, each of `online` new online requests preempts one; a limit that falls preempts none by itself.
+    fn preempt(&mut self, effects: &mut Effects, online: usize) {
         let staying = self.active().filter(|h| !h.preempted).count();
-        for _ in self.slots as usize..staying {
+        let above = staying.saturating_sub(self.slots.min(self.limits.1) as usize);
+        let excess = staying.saturating_sub(self.slots as usize);
+        for _ in 0..excess.max(above.min(online)) {
             let batch = self.held.iter_mut();
             let youngest = batch
                 .filter(|h| h.request.class == Class::Batch && !h.preempted)
--- a/src/gate/release.rs
+++ b/src/gate/release.rs
@@ -103,7 +103,10 @@
             }
         }
         for (peer, slots) in sent {
-            self.send_releases(host, &peer, slots, true);
+            match host.settings.learn {
+                true => self.send_observed(host, &peer, slots),
+                false => self.send_releases(host, &peer, slots, true),
+            }
         }
         for (peer, slots) in unsent {
             self.send_releases(host, &peer, slots, false);
--- a/src/pass/mod.rs
+++ b/src/pass/mod.rs
@@ -104,6 +104,30 @@
     Invalid(String),
 }
 
+/// Load that a server reported; a hint, which may be wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Slots of the server.
+    pub slots: u32,
+    /// Percentage of the usual time that work takes on that machine now, from 1 to 10,000.
+    pub percent: Option<u32>,
+}
+
+/// What an answer says about the load of its server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LoadStatement {
+    /// Nothing.
+    Absent,
+    /// Its load.
+    Report(LoadReport),
+    /// The value cannot be used.
+    Invalid(String),
+}
+
 /// The servers' protocol: the header fields of attempts and answers.
 #[derive(Debug, Clone, Copy)]
 pub struct Dialect {
@@ -118,6 +142,8 @@
     pub leaves: fn(&Head) -> bool,
     /// The limit on requests that the head of an answer states.
     pub limit: fn(&Head) -> LimitStatement,
+    /// The load that the head of an answer reports.
+    pub load: fn(&Head) -> LoadStatement,
     /// Ids of the prompt segments that a request names and that other requests may share.
     pub segments: fn(&Request) -> Vec<Name>,
 }
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -3,6 +3,7 @@
 use super::{
     dispatch::{Run, Sink},
     health::Outcome,
+    pace::Pace,
 };
 use crate::{
     clock::Time,
@@ -32,6 +33,7 @@
     pub(super) software: Name,
     pub(super) began: Time,
     pub(super) first: Option<Time>,
+    pub(super) pace: Pace,
 }
 
 impl<S: Sink> Run<'_, S> {
@@ -70,6 +72,7 @@
             software: server.software.clone(),
             began: host.now(),
             first: None,
+            pace: Pace::default(),
         };
         host.routes
             .begin(attempt.began, &slot.server, self.work.class);
@@ -82,6 +85,9 @@
             None => self.stream(&slot, &mut attempt),
         };
         slot.used = self.pos - from;
+        if host.settings.learn {
+            self.note_observed(&slot, &attempt, result.is_ok());
+        }
         let outcome = outcome(&attempt, &result);
         host.routes
             .end(host, &slot.server, self.work.class, outcome);
@@ -91,6 +97,17 @@
         result
     }
 
+    /// Has the gate of the slot's server told what was observed of `attempt`.
+    fn note_observed(&self, slot: &Slot, attempt: &Attempt, is_whole: bool) {
+        let host = self.host;
+        if is_whole && self.work.class == Class::Online {
+            host.routes.speeds.note_events(slot.used);
+        }
+        if let Some(observed) = attempt.pace.observed(attempt.began) {
+            host.gates.held.observe(&slot.server, observed);
+        }
+    }
+
     fn stream(&mut self, slot: &Slot, attempt: &mut Attempt) -> Result<Answer, Abort> {
         let host = self.host;
         let left = self.work.deadline.saturating_sub(host.now());
@@ -110,6 +127,7 @@
                 host.timeline
                     .note(Happening::FirstToken, &slot.id, None, &slot.server);
             }
+            attempt.pace.note(host.now());
             self.deliver(&piece, slot, attempt)?;
         }
     }
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -1,6 +1,6 @@
 //! Order in which servers are asked for a slot.
 
-use super::health::Availability;
+use super::{expected::Expected, health::Availability};
 use crate::wire::{Class, Name};
 use rand::Rng;
 use std::hash::Hasher;
@@ -16,6 +16,8 @@
 const AFFINITY_SLACK: f32 = 0.25;
 /// Load, as a fraction of the slots, that a server in another failure domain must save.
 const FAR_LOAD: f32 = 0.1;
+/// Cost of a full server for batch work, above any time between events in seconds.
+const FULL_COST: f32 = 1e6;
 /// Load up to which online requests prefer servers that do not limit the requests that they take.
 const UNLIMITED_LOAD: f32 = 0.75;
 
@@ -32,11 +34,45 @@
     pub spare: i32,
     /// Whether the server limits the requests that it takes.
     pub is_limited: bool,
+    /// What a request can expect of the server, if speeds are learned.
+    pub expected: Option<Expected>,
     /// Whether the server may get work.
     pub availability: Availability,
 }
 
 impl Candidate {
+    /// Order of servers for online requests: seconds if speeds are known, else requests per slot.
+    fn online_cost(&self) -> f32 {
+        match &self.expected {
+            Some(expected) => expected.online_cost(),
+            None => self.load + if self.is_near { 0.0 } else { FAR_LOAD },
+        }
+    }
+
+    /// Order of servers for batch work: the best rate of tokens among those with room, else the shortest
+    /// queue.
+    fn batch_cost(&self) -> f32 {
+        match &self.expected {
+            Some(expected) if self.spare > 0 && expected.has_room.1 => expected.step,
+            Some(_) => FULL_COST - self.spare as f32,
+            None => -(self.spare as f32),
+        }
+    }
+
+    /// Whether the server is below its learned limit for online requests.
+    fn has_room(&self) -> bool {
+        self.expected.is_none_or(|e| e.has_room.0)
+    }
+
+    /// Whether cache affinity may decide for the server among others with the mean `load` and `cost`.
+    fn is_light(&self, load: f32, cost: f32) -> bool {
+        let is_near_mean = match self.expected {
+            Some(_) => self.online_cost() <= cost * (1.0 + AFFINITY_SLACK),
+            None => self.load <= load + AFFINITY_SLACK,
+        };
+        is_near_mean && self.load < 1.0
+    }
+
     /// The server with or without a limit; one that is throttled has no slot to give.
     pub(super) fn with_limit(self, is_limited: bool, is_throttled: bool) -> Self {
         let (load, spare) = match is_throttled {
@@ -86,16 +122,17 @@
         Class::Online => {
             // A limit is better spent on long work while others have room for online requests.
             let has_limited = usable.iter().any(|c| c.is_limited);
-            let (roomy, rest) = usable
-                .into_iter()
-                .partition(|c| !has_limited || (!c.is_limited && c.load < UNLIMITED_LOAD));
+            let (roomy, rest) = usable.into_iter().partition(|c| {
+                let is_free = !has_limited || (!c.is_limited && c.load < UNLIMITED_LOAD);
+                is_free && c.has_room()
+            });
             for tier in [roomy, rest] {
                 take_online(tier, prefix, &mut chosen, most, rng);
             }
         }
         Class::Batch => {
             usable.retain(|c| !chosen.contains(c));
-            take_best_of_two(&mut usable, &mut chosen, most, rng, |c| -(c.spare as f32));
+            take_best_of_two(&mut usable, &mut chosen, most, rng, Candidate::batch_cost);
         }
     }
     chosen.truncate(most);
@@ -113,12 +150,11 @@
 ) {
     let mean = usable.iter().map(|c| c.load).sum::<f32>() / usable.len().max(1) as f32;
     let affine = prefix.and_then(|p| usable.iter().max_by_key(|c| rendezvous(p, &c.name)));
-    let affine = affine.filter(|c| c.load <= mean + AFFINITY_SLACK && c.load < 1.0);
+    let cost = usable.iter().map(|c| c.online_cost()).sum::<f32>() / usable.len().max(1) as f32;
+    let affine = affine.filter(|c| c.is_light(mean, cost));
     chosen.extend(affine);
     usable.retain(|c| !chosen.contains(c));
-    take_best_of_two(&mut usable, chosen, most, rng, |c| {
-        c.load + if c.is_near { 0.0 } else { FAR_LOAD }
-    });
+    take_best_of_two(&mut usable, chosen, most, rng, Candidate::online_cost);
 }
 
 /// Moves up to `most` servers to `chosen`, each the better of two random ones (power of two choices).
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -133,6 +133,12 @@
                 &slot.id,
             );
         }
+        if verdict == Verdict::Ours && host.settings.learn {
+            let statement = (dialect.load)(&head);
+            let speeds = &host.routes.speeds;
+            let report = speeds.read_report(host.now(), &slot.server, &slot.id, statement);
+            attempt.pace.load = report.map(|report| (report, host.now()));
+        }
         match verdict {
             Verdict::Ours => {}
             Verdict::NotRun => {
@@ -198,6 +204,7 @@
                     self.host.note_answered(&self.segments, &slot.id);
                 }
                 has_event = true;
+                attempt.pace.note(self.host.now());
                 if !empty.is_empty() {
                     empty.append(&mut event.raw);
                     event.raw = std::mem::take(&mut empty);
--- /dev/null
+++ b/src/route/speeds.rs
@@ -0,0 +1,128 @@
+//! Speeds of servers as one host knows them, and the length of its online answers.
+
+use super::expected::{Expected, Load, assume, expected};
+use crate::{
+    clock::Time,
+    gate::{Speed, ToldSpeed},
+    pass::{LoadReport, LoadStatement},
+    wire::Name,
+};
+use rand::{Rng, seq::IndexedRandom};
+use std::{
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+/// Age at which a speed is forgotten. A server whose gate is silent for longer is taken for an average one.
+const SPEED_AGE: Duration = Duration::from_secs(30);
+/// Least time between two log lines about invalid load reports.
+const LOG_EVERY: Duration = Duration::from_secs(10);
+/// Longest part of an invalid value in the log, in characters.
+const QUOTED_MAX: usize = 40;
+/// Part by which the mean length of online answers follows.
+const EVENTS_WEIGHT: f32 = 0.05;
+/// Longest answer that counts, in events.
+const EVENTS_MAX: u32 = 10_000;
+
+/// Speeds of servers, sorted by name.
+#[derive(Debug, Default)]
+pub struct Speeds {
+    known: Mutex<Vec<(Name, Speed, Time)>>,
+    /// Mean number of events of online answers.
+    events: Mutex<f32>,
+    logged: Mutex<Option<Time>>,
+}
+
+impl Speeds {
+    /// Records speeds told at `now`, unless newer ones are known.
+    pub fn learn(&self, now: Time, told: &[ToldSpeed]) {
+        if told.is_empty() {
+            return;
+        }
+        let mut known = self.lock();
+        for ToldSpeed { server, speed, age } in told.iter().filter(|t| t.age < SPEED_AGE) {
+            let at = now.saturating_sub(*age);
+            match known.binary_search_by(|k| k.0.cmp(server)) {
+                Ok(i) if known[i].2 <= at => known[i] = (server.clone(), *speed, at),
+                Ok(_) => {}
+                Err(i) => known.insert(i, (server.clone(), *speed, at)),
+            }
+        }
+        known.retain(|k| now.saturating_sub(k.2) < SPEED_AGE);
+    }
+
+    /// Up to `most` speeds at random, to tell to another host.
+    pub fn some<R: Rng>(&self, now: Time, most: usize, rng: &mut R) -> Vec<ToldSpeed> {
+        let known = self.lock();
+        let chosen = known.choose_multiple(rng, most);
+        let told = chosen.map(|(server, speed, at)| ToldSpeed {
+            server: server.clone(),
+            speed: *speed,
+            age: now.saturating_sub(*at),
+        });
+        told.collect()
+    }
+
+    /// Speed of `server` and its age.
+    pub fn get(&self, now: Time, server: &Name) -> Option<(Speed, Duration)> {
+        let known = self.lock();
+        let at = known.binary_search_by(|k| k.0.cmp(server)).ok()?;
+        let age = now.saturating_sub(known[at].2);
+        (age < SPEED_AGE).then_some((known[at].1, age))
+    }
+
+    /// What each of `servers` promises to a request; `None` if no speed is known.
+    pub fn assess(&self, now: Time, servers: &[(&Name, bool, Load)]) -> Option<Vec<Expected>> {
+        let mut known: Vec<_> = servers
+            .iter()
+            .map(|(name, _, load)| (*load, self.get(now, name)))
+            .collect();
+        assume(&mut known)?;
+        let events = self.events.lock().expect("events").max(1.0);
+        let all = servers
+            .iter()
+            .zip(&known)
+            .filter_map(|(server, (load, speed))| {
+                let (speed, age) = speed.as_ref()?;
+                Some(expected(speed, *age, load, server.1, events))
+            });
+        Some(all.collect())
+    }
+
+    /// Records the number of events of an online answer.
+    pub fn note_events(&self, count: u32) {
+        let mut events = self.events.lock().expect("events");
+        let count = count.min(EVENTS_MAX) as f32;
+        *events += if *events == 0.0 {
+            count
+        } else {
+            EVENTS_WEIGHT * (count - *events)
+        };
+    }
+
+    /// The report in the answer to attempt `id`; an invalid one is logged once in a while.
+    pub fn read_report(
+        &self,
+        now: Time,
+        server: &Name,
+        id: &Name,
+        statement: LoadStatement,
+    ) -> Option<LoadReport> {
+        let value = match statement {
+            LoadStatement::Absent => return None,
+            LoadStatement::Report(report) => return Some(report),
+            LoadStatement::Invalid(value) => value,
+        };
+        let mut logged = self.logged.lock().expect("log time");
+        if logged.is_none_or(|at| now.saturating_sub(at) >= LOG_EVERY) {
+            *logged = Some(now);
+            let value: String = value.chars().take(QUOTED_MAX).collect();
+            tracing::warn!(id = &**id, server = &**server, value, "server_load_invalid");
+        }
+        None
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<(Name, Speed, Time)>> {
+        self.known.lock().expect("speeds")
+    }
+}
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -2,9 +2,11 @@
 
 use super::{
     choose::{Candidate, fan_out, order, subset},
+    expected::Load,
     health::{Availability, Health, Outcome},
     leaving::Departures,
     limits::ServerLimits,
+    speeds::Speeds,
     throttled::Throttled,
 };
 use crate::{
@@ -41,6 +43,8 @@
     pub limits: ServerLimits,
     /// Servers that lately took no request because of their limits.
     pub throttled: Throttled,
+    /// Speeds of servers, if they are learned.
+    pub speeds: Speeds,
     /// Number of requests and batch items on this host that wait in queues for a slot.
     pub waiting: AtomicUsize,
 }
@@ -77,6 +81,7 @@
             departures: Departures::default(),
             limits: ServerLimits::default(),
             throttled: Throttled::default(),
+            speeds: Speeds::default(),
             waiting: AtomicUsize::new(0),
         }
     }
@@ -230,6 +235,9 @@
                 candidate.with_limit(is_limited, is_throttled)
             })
             .collect();
+        if host.settings.learn {
+            self.assess(&stats, &servers, &mut all, now);
+        }
         drop(stats);
         // Work that may not be repeated must not be risked as a probe.
         if !work.repeatable {
@@ -250,6 +258,21 @@
         Ok(chosen)
     }
 
+    /// Adds to the candidates, all of them among `servers`, what a request can expect there.
+    fn assess(&self, stats: &[ServerStats], servers: &[Server], all: &mut [Candidate], now: Time) {
+        let load = |c: &Candidate| {
+            let at = servers.iter().find(|s| s.name == c.name);
+            load(stats, &c.name, at.map_or(1, |s| s.slots), now)
+        };
+        let named: Vec<_> = all.iter().map(|c| (&c.name, c.is_near, load(c))).collect();
+        let Some(expected) = self.speeds.assess(now, &named) else {
+            return;
+        };
+        for (candidate, expected) in all.iter_mut().zip(expected) {
+            candidate.expected = Some(expected);
+        }
+    }
+
     /// The servers for `model`. While one request chooses them again, others use the previous choice;
     /// gates refuse work for leaving servers.
     fn servers_for(&self, host: &Host, model: &Name) -> Arc<[Server]> {
@@ -352,6 +375,7 @@
         load: 0.0,
         spare: spare(slots, Counts::default()),
         is_limited: false,
+        expected: None,
         availability: Availability::Available,
     };
     let Ok(at) = stats.binary_search_by(|s| s.server.cmp(&server.name)) else {
@@ -373,6 +397,22 @@
     candidate
 }
 
+/// What is at `server`: the counts of its gate if they are fresh, else the host's own requests.
+fn load(stats: &[ServerStats], server: &Name, slots: u32, now: Time) -> Load {
+    let slots = slots.max(1);
+    let mut load = Load::default();
+    if let Ok(at) = stats.binary_search_by(|s| s.server.cmp(server)) {
+        let known = &stats[at];
+        load.is_known = known.counts_at.is_some_and(|at| at + COUNTS_AGE > now);
+        if load.is_known {
+            load.counts = known.counts;
+        }
+        load.counts.online = load.counts.online.max(known.online);
+    }
+    load.counts.slots = slots;
+    load
+}
+
 /// Free slots of `slots` minus waiting work, for any number of slots that a server may claim.
 fn spare(slots: u32, c: Counts) -> i32 {
     let slots = i32::try_from(slots).unwrap_or(i32::MAX);
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -79,6 +79,8 @@
     pub loads: u64,
     /// Maximum time for an order to a backend server to take effect.
     pub load: Duration,
+    /// Whether speeds and concurrency limits of backend servers are learned and used.
+    pub learn: bool,
     /// Number of events kept for the timeline.
     pub events: usize,
 }
@@ -146,6 +148,7 @@
             },
             loads: r.number("orders", "loads_per_minute", 1, 1_000_000, 600),
             load: r.millis("orders", "load_ms", 100, 86_400_000, 600_000),
+            learn: r.number("gate", "learn", 0, 1, 0) == 1,
             events: r.number("timeline", "events", 100, 10_000_000, 20_000) as usize,
         };
         r.finish(settings)
--- a/tests/route_choose.rs
+++ b/tests/route_choose.rs
@@ -24,6 +24,7 @@
         load: 0.0,
         spare: 8,
         is_limited: false,
+        expected: None,
         availability: Availability::Available,
     };
     (0..count).map(server).collect()
