Learn limits by trials; tests of uneven servers; metrics

With batch work filling every slot nothing showed whether a server slows down before it is full, and noise lowered the limits of uniform servers to 7.4 of 8 slots on average. Trials of a lower concurrency compare medians, and the limit moves only for a clear gain: uniform servers keep 8, noisy ones too.

--- a/src/gate/learned.rs
+++ b/src/gate/learned.rs
@@ -3,9 +3,10 @@
 //! Addresses servers of one service that differ in speed, share their machines with other work and may
 //! slow down long before all slots are in use. The time between events at each concurrency is a speed,
 //! which changes within a second, times a shape, which hardly changes. By Little's law the throughput at
-//! a concurrency is the concurrency divided by that time; the limit is the least concurrency with nearly
-//! the best throughput. A change of speed alone does not move it.
+//! a concurrency is the concurrency divided by that time; the limit moves to a concurrency with a
+//! clearly better throughput. A change of speed alone does not move it.
 
+use super::trial::{Point, Trials};
 use crate::{clock::Time, pass::LoadReport};
 use serde::{Deserialize, Serialize};
 use std::{collections::VecDeque, time::Duration};
@@ -31,8 +32,9 @@
 const DEVIATION_MAX: f64 = 1.1;
 /// Samples before the limit may leave the server's slots, and before the speed is told.
 const SAMPLES_MIN: u32 = 8;
-/// Part of the best throughput at which a lower concurrency suffices.
-const ENOUGH: f64 = 0.92;
+/// Least gain of throughput for which the limit falls, and for which it rises. Noise makes lower levels
+/// look up to a tenth better than they are.
+const GAINS: (f64, f64) = (1.12, 1.03);
 /// Part of the way to its target that the limit moves with a sample.
 const LIMIT_WEIGHT: f64 = 0.2;
 /// Distance from the limit in force at which it changes by one; above a half, so that it does not alternate.
@@ -41,12 +43,10 @@
 const CHANGE_MIN: Duration = Duration::from_millis(250);
 /// Time in which the excess of levels above the concurrency in use fades, so that they are tried again.
 const FORGET: Duration = Duration::from_secs(30);
-/// Time without variation of the concurrency after which the limit is lowered for a while, to compare; it
-/// doubles from the first to the second while the limit stays.
-const PROBE_EVERY: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(64));
-/// Longest time for which it is lowered, and the samples that suffice.
-const PROBE_MAX: Duration = Duration::from_secs(10);
-const PROBE_SAMPLES: u32 = 4;
+/// Part of the present throughput from which a lower concurrency is tried often.
+const PROMISING: f64 = 0.9;
+/// Part of the difference seen in a trial that is taken over.
+const TRIAL_WEIGHT: f64 = 0.7;
 /// Span of the history of the concurrency, and most entries of it.
 const HISTORY: Duration = Duration::from_secs(10);
 const HISTORY_MAX: usize = 512;
@@ -92,20 +92,6 @@
     pub hint: Option<(u32, u32)>,
 }
 
-/// Trials of a lower concurrency at a server whose concurrency hardly varies.
-#[derive(Debug, Clone, PartialEq)]
-struct Probe {
-    /// End of the trial under way.
-    until: Option<Time>,
-    /// When the next one begins.
-    next: Time,
-    every: Duration,
-    /// Samples at a lower concurrency since the last one.
-    samples: u32,
-    /// Limit after the last one.
-    limit: u32,
-}
-
 /// The estimator of one server.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Learned {
@@ -123,7 +109,7 @@
     running: VecDeque<(Time, u32)>,
     /// Usual level of the samples.
     usual_at: f64,
-    probe: Probe,
+    trials: Trials,
     /// Mean of the percentages that load reports stated when the samples were taken.
     usual: f64,
     report: Option<(LoadReport, Time)>,
@@ -144,13 +130,7 @@
             changed_at: now,
             running: VecDeque::new(),
             usual_at: 0.0,
-            probe: Probe {
-                until: None,
-                next: now + PROBE_EVERY.0,
-                every: PROBE_EVERY.0,
-                samples: 0,
-                limit: slots,
-            },
+            trials: Trials::new(now),
             usual: 100.0,
             report: None,
         }
@@ -175,7 +155,7 @@
 
     /// Requests up to which batch work is granted: the limit, or less during a trial.
     pub fn batch_limit(&self) -> u32 {
-        let dip = self.probe.until.map_or(0, |_| self.dip());
+        let dip = if self.trials.is_on() { self.dip() } else { 0 };
         self.applied
             .saturating_sub(dip)
             .max(Self::floor(self.slots))
@@ -234,7 +214,13 @@
         let percent = self.fresh_percent(now).unwrap_or(100.0);
         self.usual += USUAL_WEIGHT * (percent - self.usual);
         let is_changed = self.move_limit(now);
-        self.follow_probe(now, at);
+        let lower = self.level(f64::from(self.applied.saturating_sub(self.dip())));
+        let enough = PROMISING * self.throughput(self.level(f64::from(self.applied)));
+        let is_promising = (0..=lower).any(|at| self.throughput(at) >= enough);
+        let trial = self.trials.follow(now, at, gap, lower, is_promising);
+        if let Some((low, high)) = trial.filter(|(low, high)| low.0 < high.0) {
+            self.compare(low, high);
+        }
         is_changed
     }
 
@@ -327,27 +313,14 @@
         }
     }
 
-    /// Begins and ends trials of a lower concurrency.
-    fn follow_probe(&mut self, now: Time, at: usize) {
-        let lower = self.level(f64::from(self.applied.saturating_sub(self.dip())));
-        self.probe.samples += u32::from(at <= lower);
-        let is_enough = self.probe.samples >= PROBE_SAMPLES;
-        let probe = &mut self.probe;
-        let is_over = match probe.until {
-            Some(until) => is_enough || now >= until,
-            // The load itself varies enough.
-            None => is_enough && now >= probe.next,
-        };
-        if is_over {
-            probe.every = match probe.limit == self.applied {
-                true => (probe.every * 2).min(PROBE_EVERY.1),
-                false => PROBE_EVERY.0,
-            };
-            probe.limit = self.applied;
-            (probe.until, probe.samples) = (None, 0);
-            probe.next = now + probe.every;
-        } else if probe.until.is_none() && now >= probe.next {
-            probe.until = Some(now + PROBE_MAX);
+    /// Moves the shape towards the difference that a trial showed between two levels.
+    fn compare(&mut self, low: Point, high: Point) {
+        let known = self.levels[high.0] - self.levels[low.0];
+        let seen = (high.1 - low.1).clamp(0.0, DEVIATION_MAX);
+        for i in (0..high.0).rev() {
+            let part = i.saturating_sub(low.0) as f64 / (high.0 - low.0) as f64;
+            let level = self.levels[i] - TRIAL_WEIGHT * (seen - known) * (1.0 - part);
+            self.levels[i] = level.min(self.levels[i + 1]);
         }
     }
 
@@ -361,10 +334,15 @@
             return false;
         }
         let count = self.levels.len();
-        let best = (0..count).map(|at| self.throughput(at)).fold(0.0, f64::max);
-        let enough = (0..count).find(|at| self.throughput(*at) >= ENOUGH * best);
-        let target =
-            enough.map_or(count, |at| at + 1) as f64 * f64::from(self.slots) / count as f64;
+        let now_at = self.level(f64::from(self.applied));
+        let by_throughput =
+            |a: &usize, b: &usize| self.throughput(*a).total_cmp(&self.throughput(*b));
+        let best = (0..count).max_by(by_throughput).unwrap_or(now_at);
+        let margin = if best < now_at { GAINS.0 } else { GAINS.1 };
+        let target = match self.throughput(best) > margin * self.throughput(now_at) {
+            true => f64::from(best as u32 + 1) * f64::from(self.slots) / count as f64,
+            false => f64::from(self.applied),
+        };
         self.limit += LIMIT_WEIGHT * (target - self.limit);
         let distance = self.limit - f64::from(self.applied);
         if distance.abs() < HYSTERESIS || now.saturating_sub(self.changed_at) < CHANGE_MIN {
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -16,6 +16,7 @@
 mod release;
 mod slot;
 mod throttle;
+mod trial;
 
 pub use call::{
     Acquire, Admission, CountsReply, HeldSlot, LimitNotice, Release, ReleaseUnsent, ReleasedSlot,
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -27,7 +27,7 @@
 #[derive(Debug, Clone)]
 pub struct Queue {
     slots: u32,
-    /// Requests up to which batch work is granted, and above which online requests preempt it.
+    /// Learned limits: of batch work, and above which online requests preempt it.
     limits: (u32, u32),
     started: Time,
     /// Sorted by id.
@@ -91,8 +91,7 @@
         self.slots = slots.max(1);
     }
 
-    /// Grants batch work only below `batch` requests, and has online requests preempt it above `all`.
-    /// Online requests still use all slots.
+    /// Grants batch work only below `batch` requests, and has online ones preempt it above `all`.
     pub fn set_limits(&mut self, batch: u32, all: u32) {
         self.limits = (batch, all);
     }
@@ -252,15 +251,13 @@
             let next = self.waiting.remove(at);
             let request = &next.request;
             match class {
-                Class::Online => {
-                    online += 1;
-                    self.online.serve(next.start);
-                }
+                Class::Online => self.online.serve(next.start),
                 Class::Batch => {
                     self.batch
                         .serve(&request.workspace, next.weight, request.cost);
                 }
             }
+            online += usize::from(class == Class::Online);
             effects.granted.push(request.id.clone());
             let mut held = self.new_held(now, next.request, next.weight);
             held.is_charged = self.throttle.is_some();
@@ -321,8 +318,8 @@
                 online.count() < self.slots as usize
             }
             Class::Batch => {
-                let most = self.slots.min(self.limits.0);
-                self.active().count() < most as usize && now >= self.started + SETTLE
+                let most = self.slots.min(self.limits.0) as usize;
+                self.active().count() < most && now >= self.started + SETTLE
             }
         }
     }
@@ -339,14 +336,13 @@
         Some(gone)
     }
 
-    /// Preempts batch attempts until the rest fit the slots. Attempts of the youngest jobs go
-    /// first, so that the jobs of a burst end one after the other instead of all late. Above the learned
-    /// limit, each of `online` new online requests preempts one; a limit that falls preempts none by itself.
+    /// Preempts batch attempts until the rest fit the slots. Attempts of the youngest jobs go first, so
+    /// that the jobs of a burst end one after the other instead of all late. Above the learned limit, each
+    /// of `online` new online requests preempts one; a limit that falls preempts none by itself.
     fn preempt(&mut self, effects: &mut Effects, online: usize) {
         let staying = self.active().filter(|h| !h.preempted).count();
-        let above = staying.saturating_sub(self.slots.min(self.limits.1) as usize);
-        let excess = staying.saturating_sub(self.slots as usize);
-        for _ in 0..excess.max(above.min(online)) {
+        let above = |most: u32| staying.saturating_sub(most as usize);
+        for _ in 0..above(self.slots).max(above(self.limits.1).min(online)) {
             let batch = self.held.iter_mut();
             let youngest = batch
                 .filter(|h| h.request.class == Class::Batch && !h.preempted)
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -34,6 +34,11 @@
     segment: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServerLabel {
+    server: String,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PathLabel {
     path: &'static str,
@@ -47,6 +52,8 @@
     refused: Family<CodeLabel, Counter>,
     calls: Family<PathLabel, Counter>,
     quarantine: Family<SegmentLabel, Gauge>,
+    server_limit: Family<ServerLabel, Gauge>,
+    server_step: Family<ServerLabel, Gauge>,
     batch: Counter,
     unrelayed: Counter,
     throttled: Counter,
@@ -86,6 +93,8 @@
             refused: Family::default(),
             calls: Family::default(),
             quarantine: Family::default(),
+            server_limit: Family::default(),
+            server_step: Family::default(),
             batch: Counter::default(),
             unrelayed: Counter::default(),
             throttled: Counter::default(),
@@ -111,6 +120,10 @@
         to.register("calls", "Calls sent to other hosts", self.calls.clone());
         let help = "Time since each prompt segment was put in quarantine";
         to.register_with_unit("quarantine", help, Unit::Seconds, self.quarantine.clone());
+        let help = "Learned concurrency limit of each server whose gate is here";
+        to.register("server_limit", help, self.server_limit.clone());
+        let help = "Learned time between events of each server whose gate is here, at its limit";
+        to.register("server_step_us", help, self.server_step.clone());
         to.register("batch_tokens", "Batch tokens generated", self.batch.clone());
         let help = "Calls to a lost log that no peer could relay";
         to.register("log_helpless", help, self.unrelayed.clone());
@@ -174,6 +187,19 @@
         }
     }
 
+    /// Sets the learned concurrency limit of servers, and the microseconds between events there.
+    pub fn servers<'a>(&self, speeds: impl Iterator<Item = (&'a str, u32, u32)>) {
+        self.server_limit.clear();
+        self.server_step.clear();
+        for (server, limit, step) in speeds {
+            let label = ServerLabel {
+                server: server.to_string(),
+            };
+            self.server_limit.get_or_create(&label).set(limit.into());
+            self.server_step.get_or_create(&label).set(step.into());
+        }
+    }
+
     /// Counts a batch token.
     pub fn batch_token(&self) {
         self.batch.inc();
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -87,6 +87,11 @@
         .map(|s| age(host, s.jobs.progress().caught_up));
     gauges.jobs_age.set(ages.max().unwrap_or(0));
     gauges.streams.set(streams.len() as i64);
+    if host.settings.learn {
+        let speeds = host.gates.queues.speeds(host.now());
+        let speeds = speeds.iter().map(|(name, s)| (&**name, s.limit, s.knee));
+        host.meters.servers(speeds);
+    }
     gauges.dropped.set(logs::dropped() as i64);
 }
 
--- /dev/null
+++ b/src/route/assess.rs
@@ -0,0 +1,47 @@
+//! What candidates for a request promise, from the state of one host.
+
+use super::{
+    choose::Candidate,
+    expected::Load,
+    state::{COUNTS_AGE, Routes, ServerStats},
+};
+use crate::{clock::Time, config::Server, wire::Name};
+
+impl Routes {
+    /// Adds to the candidates, all of them among `servers`, what a request can expect there.
+    pub(super) fn assess(
+        &self,
+        stats: &[ServerStats],
+        servers: &[Server],
+        all: &mut [Candidate],
+        now: Time,
+    ) {
+        let load = |c: &Candidate| {
+            let at = servers.iter().find(|s| s.name == c.name);
+            load(stats, &c.name, at.map_or(1, |s| s.slots), now)
+        };
+        let named: Vec<_> = all.iter().map(|c| (&c.name, c.is_near, load(c))).collect();
+        let Some(expected) = self.speeds.assess(now, &named) else {
+            return;
+        };
+        for (candidate, expected) in all.iter_mut().zip(expected) {
+            candidate.expected = Some(expected);
+        }
+    }
+}
+
+/// What is at `server`: the counts of its gate if they are fresh, else the host's own requests.
+fn load(stats: &[ServerStats], server: &Name, slots: u32, now: Time) -> Load {
+    let slots = slots.max(1);
+    let mut load = Load::default();
+    if let Ok(at) = stats.binary_search_by(|s| s.server.cmp(server)) {
+        let known = &stats[at];
+        load.is_known = known.counts_at.is_some_and(|at| at + COUNTS_AGE > now);
+        if load.is_known {
+            load.counts = known.counts;
+        }
+        load.counts.online = load.counts.online.max(known.online);
+    }
+    load.counts.slots = slots;
+    load
+}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -1,6 +1,7 @@
 //! Chooses backend servers for a piece of work and runs it there, with retries and health checks.
 
 mod acquire;
+mod assess;
 mod attempt;
 mod choose;
 mod dispatch;
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -126,18 +126,11 @@
             host.note_leaving(&slot.server, attempt.start, &slot.id);
         }
         if verdict != Verdict::Foreign {
-            host.note_limit(
-                &slot.server,
-                attempt.start,
-                &(dialect.limit)(&head),
-                &slot.id,
-            );
+            let limit = (dialect.limit)(&head);
+            host.note_limit(&slot.server, attempt.start, &limit, &slot.id);
         }
-        if verdict == Verdict::Ours && host.settings.learn {
-            let statement = (dialect.load)(&head);
-            let speeds = &host.routes.speeds;
-            let report = speeds.read_report(host.now(), &slot.server, &slot.id, statement);
-            attempt.pace.load = report.map(|report| (report, host.now()));
+        if verdict == Verdict::Ours {
+            attempt.pace.load = host.load_report(slot, (dialect.load)(&head));
         }
         match verdict {
             Verdict::Ours => {}
--- a/src/route/speeds.rs
+++ b/src/route/speeds.rs
@@ -3,7 +3,8 @@
 use super::expected::{Expected, Load, assume, expected};
 use crate::{
     clock::Time,
-    gate::{Speed, ToldSpeed},
+    gate::{Slot, Speed, ToldSpeed},
+    kernel::Host,
     pass::{LoadReport, LoadStatement},
     wire::Name,
 };
@@ -100,29 +101,43 @@
         };
     }
 
-    /// The report in the answer to attempt `id`; an invalid one is logged once in a while.
-    pub fn read_report(
-        &self,
-        now: Time,
-        server: &Name,
-        id: &Name,
-        statement: LoadStatement,
-    ) -> Option<LoadReport> {
-        let value = match statement {
-            LoadStatement::Absent => return None,
-            LoadStatement::Report(report) => return Some(report),
-            LoadStatement::Invalid(value) => value,
-        };
+    /// Whether an invalid report may be logged at `now`.
+    fn may_log(&self, now: Time) -> bool {
         let mut logged = self.logged.lock().expect("log time");
-        if logged.is_none_or(|at| now.saturating_sub(at) >= LOG_EVERY) {
+        let is_due = logged.is_none_or(|at| now.saturating_sub(at) >= LOG_EVERY);
+        if is_due {
             *logged = Some(now);
-            let value: String = value.chars().take(QUOTED_MAX).collect();
-            tracing::warn!(id = &**id, server = &**server, value, "server_load_invalid");
         }
-        None
+        is_due
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<(Name, Speed, Time)>> {
         self.known.lock().expect("speeds")
     }
 }
+
+impl Host {
+    /// The load that the answer to the attempt of `slot` reports, and when; `None` if speeds are not learned.
+    /// An invalid report is logged once in a while.
+    pub(super) fn load_report(
+        &self,
+        slot: &Slot,
+        statement: LoadStatement,
+    ) -> Option<(LoadReport, Time)> {
+        if !self.settings.learn {
+            return None;
+        }
+        match statement {
+            LoadStatement::Absent => None,
+            LoadStatement::Report(report) => Some((report, self.now())),
+            LoadStatement::Invalid(value) => {
+                if self.routes.speeds.may_log(self.now()) {
+                    let value: String = value.chars().take(QUOTED_MAX).collect();
+                    let (id, server) = (&*slot.id, &*slot.server);
+                    tracing::warn!(id, server, value, "server_load_invalid");
+                }
+                None
+            }
+        }
+    }
+}
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -2,7 +2,6 @@
 
 use super::{
     choose::{Candidate, fan_out, order, subset},
-    expected::Load,
     health::{Availability, Health, Outcome},
     leaving::Departures,
     limits::ServerLimits,
@@ -27,7 +26,7 @@
 };
 
 /// Age from which counts of a gate are no longer used.
-const COUNTS_AGE: Duration = Duration::from_secs(1);
+pub(super) const COUNTS_AGE: Duration = Duration::from_secs(1);
 
 /// Health and load of servers as one host knows them, and its retry budget, for all its requests.
 #[derive(Debug)]
@@ -51,12 +50,12 @@
 
 /// What the host knows about one server.
 #[derive(Debug, Clone)]
-struct ServerStats {
-    server: Name,
+pub(super) struct ServerStats {
+    pub(super) server: Name,
     /// Online requests of this host at the server.
-    online: u32,
-    counts: Counts,
-    counts_at: Option<Time>,
+    pub(super) online: u32,
+    pub(super) counts: Counts,
+    pub(super) counts_at: Option<Time>,
     health: Health,
 }
 
@@ -258,21 +257,6 @@
         Ok(chosen)
     }
 
-    /// Adds to the candidates, all of them among `servers`, what a request can expect there.
-    fn assess(&self, stats: &[ServerStats], servers: &[Server], all: &mut [Candidate], now: Time) {
-        let load = |c: &Candidate| {
-            let at = servers.iter().find(|s| s.name == c.name);
-            load(stats, &c.name, at.map_or(1, |s| s.slots), now)
-        };
-        let named: Vec<_> = all.iter().map(|c| (&c.name, c.is_near, load(c))).collect();
-        let Some(expected) = self.speeds.assess(now, &named) else {
-            return;
-        };
-        for (candidate, expected) in all.iter_mut().zip(expected) {
-            candidate.expected = Some(expected);
-        }
-    }
-
     /// The servers for `model`. While one request chooses them again, others use the previous choice;
     /// gates refuse work for leaving servers.
     fn servers_for(&self, host: &Host, model: &Name) -> Arc<[Server]> {
@@ -397,22 +381,6 @@
     candidate
 }
 
-/// What is at `server`: the counts of its gate if they are fresh, else the host's own requests.
-fn load(stats: &[ServerStats], server: &Name, slots: u32, now: Time) -> Load {
-    let slots = slots.max(1);
-    let mut load = Load::default();
-    if let Ok(at) = stats.binary_search_by(|s| s.server.cmp(server)) {
-        let known = &stats[at];
-        load.is_known = known.counts_at.is_some_and(|at| at + COUNTS_AGE > now);
-        if load.is_known {
-            load.counts = known.counts;
-        }
-        load.counts.online = load.counts.online.max(known.online);
-    }
-    load.counts.slots = slots;
-    load
-}
-
 /// Free slots of `slots` minus waiting work, for any number of slots that a server may claim.
 fn spare(slots: u32, c: Counts) -> i32 {
     let slots = i32::try_from(slots).unwrap_or(i32::MAX);
--- /dev/null
+++ b/tests/gate_observe.rs
@@ -0,0 +1,123 @@
+//! What holders of slots tell the gates, and speeds that gates pass back, on whole hosts.
+
+use gooseberrytack::{
+    gate::{Observed, ReleaseObserved, ReleasedSlot, Sample},
+    kernel::Call,
+    pass::LoadReport,
+};
+use standin::{EngineConfig, Harness, Plan, wait_for};
+use std::time::Duration;
+
+fn harness(tune: fn(&mut gooseberrytack::settings::Settings)) -> Harness {
+    let engine = EngineConfig {
+        token_us: 2_000,
+        ..EngineConfig::default()
+    };
+    let harness = Harness::start(Plan {
+        hosts: 3,
+        engines: vec![engine; 2],
+        tune,
+        ..Plan::default()
+    });
+    harness.wait_listed();
+    harness
+}
+
+/// Messages sent so far to tell gates of observations.
+fn told(harness: &Harness) -> bool {
+    let text = |host: &gooseberrytack::kernel::Host| host.meters.text().expect("metrics");
+    let hosts = harness.hosts();
+    hosts
+        .iter()
+        .any(|h| text(h).contains(ReleaseObserved::PATH))
+}
+
+/// Every host must learn the speed of every server, although each gate hears of its own server only.
+#[test]
+fn observe_speeds_reach_all_hosts() {
+    let harness = harness(|s| s.learn = true);
+    let mut count = 0;
+    wait_for("all speeds on all hosts", || {
+        for i in 0..3 {
+            count += 1;
+            harness.caller(i).ask(&format!("prompt {count}"), 12);
+        }
+        harness.hosts().iter().all(|host| {
+            let known = |e: &str| host.routes.speeds.get(host.now(), &e.into()).is_some();
+            known("e0") && known("e1")
+        })
+    });
+    assert!(told(&harness));
+    let host = &harness.hosts()[0];
+    let (speed, _) = host
+        .routes
+        .speeds
+        .get(host.now(), &"e0".into())
+        .expect("a speed");
+    assert!(speed.step > 0 && speed.limit > 0, "{speed:?}");
+    let gates: usize = harness
+        .hosts()
+        .iter()
+        .map(|h| h.gates.queues.speeds(h.now()).len())
+        .sum();
+    assert!(gates >= 2);
+}
+
+/// Without the setting, hosts must send the messages that earlier builds send, and no others.
+#[test]
+fn observe_off_sends_nothing() {
+    let harness = harness(|_| {});
+    for count in 0..30 {
+        harness
+            .caller(count % 3)
+            .ask(&format!("prompt {count}"), 12);
+    }
+    assert!(!told(&harness));
+    assert!(
+        harness
+            .hosts()
+            .iter()
+            .all(|h| h.gates.queues.speeds(h.now()).is_empty())
+    );
+}
+
+/// The message must survive its encoding, with odd reports and times.
+#[test]
+fn release_observed_is_read_back() {
+    let load = LoadReport {
+        running: u32::MAX,
+        waiting: 0,
+        slots: 8,
+        percent: Some(250),
+    };
+    let observed = Observed {
+        first: Some(Duration::MAX),
+        gap: None,
+        span: Duration::ZERO,
+        at: Duration::from_secs(5),
+        load: Some((load, Duration::from_secs(4))),
+    };
+    // The clock of a host that was suspended may be behind.
+    let sample = observed.sample(Duration::from_secs(3));
+    assert_eq!(
+        (sample.age, sample.load),
+        (Duration::ZERO, Some((load, Duration::ZERO)))
+    );
+    let call = ReleaseObserved {
+        slots: vec![ReleasedSlot {
+            server: "e0".into(),
+            id: "a".into(),
+            used: 3,
+        }],
+        samples: vec![(
+            "e0".into(),
+            Sample {
+                load: None,
+                ..sample
+            },
+        )],
+    };
+    let bytes = rmp_serde::to_vec(&call).expect("encoded");
+    let again: ReleaseObserved = rmp_serde::from_slice(&bytes).expect("decoded");
+    assert_eq!(again, call);
+}
--- a/tests/gate_queue.rs
+++ b/tests/gate_queue.rs
@@ -360,3 +360,50 @@
     // The first half of the jobs ends in about half of the time.
     assert!(ends[4] * 10 <= ends[9] * 6, "{ends:?}");
 }
+
+/// Batch work must stay below a learned limit, and online requests must still get every slot.
+#[test]
+fn set_limits_holds_batch_and_not_online() {
+    let (mut queue, now) = settled(4);
+    queue.set_limits(2, 3);
+    for id in ["b1", "b2"] {
+        assert_eq!(
+            put(&mut queue, now, id, "w", Class::Batch).0,
+            Verdict::Granted
+        );
+    }
+    assert_eq!(
+        put(&mut queue, now, "b3", "w", Class::Batch).0,
+        Verdict::Waiting
+    );
+    let (verdict, effects) = put(&mut queue, now, "o1", "w", Class::Online);
+    assert_eq!((verdict, effects.preempted.len()), (Verdict::Granted, 0));
+    let (verdict, effects) = put(&mut queue, now, "o2", "w", Class::Online);
+    assert_eq!(
+        (verdict, effects.preempted),
+        (Verdict::Granted, vec!["b2".into()])
+    );
+    for id in ["o3", "o4"] {
+        assert_eq!(
+            put(&mut queue, now, id, "w", Class::Online).0,
+            Verdict::Granted
+        );
+    }
+    assert_eq!(
+        put(&mut queue, now, "o5", "w", Class::Online).0,
+        Verdict::Waiting
+    );
+}
+
+/// A limit that falls must not preempt work that runs already: it would run again elsewhere.
+#[test]
+fn set_limits_lower_preempts_nothing() {
+    let (mut queue, now) = settled(4);
+    for id in ["b1", "b2", "b3", "b4"] {
+        put(&mut queue, now, id, "w", Class::Batch);
+    }
+    queue.set_limits(2, 2);
+    assert_eq!(queue.serve(now), Effects::default());
+    let (_, effects) = put(&mut queue, now, "o1", "w", Class::Online);
+    assert_eq!(effects.preempted.len(), 1);
+}
