--- a/src/gate/observe.rs
+++ b/src/gate/observe.rs
@@ -114,7 +114,7 @@
     }
 
     /// Releases `slots` at the gates on `peer`, with the observations for these.
-    pub(super) fn send_observed(&self, host: &Host, peer: &Peer, slots: Vec<ReleasedSlot>) {
+    pub fn send_observed(&self, host: &Host, peer: &Peer, slots: Vec<ReleasedSlot>) {
         let servers: Vec<Name> = slots.iter().map(|d| d.server.clone()).collect();
         let samples = self.take_samples(host, peer, &servers);
         let reply = if peer.name == host.me.name {
--- a/src/route/assess.rs
+++ b/src/route/assess.rs
@@ -8,7 +8,7 @@
 use crate::{clock::Time, config::Server, wire::Name};
 
 impl Routes {
-    /// Adds to the candidates, all of them among `servers`, what a request can expect there.
+    /// Adds to the candidates, all of them among `servers` (sorted by name), what a request can expect there.
     pub(super) fn assess(
         &self,
         stats: &[ServerStats],
@@ -17,8 +17,8 @@
         now: Time,
     ) {
         let load = |c: &Candidate| {
-            let at = servers.iter().find(|s| s.name == c.name);
-            load(stats, &c.name, at.map_or(1, |s| s.slots), now)
+            let at = servers.binary_search_by(|s| s.name.cmp(&c.name));
+            load(stats, &c.name, at.map_or(1, |at| servers[at].slots), now)
         };
         let named: Vec<_> = all.iter().map(|c| (&c.name, c.is_near, load(c))).collect();
         let Some(expected) = self.speeds.assess(now, &named) else {
--- a/tests/gate_observe.rs
+++ b/tests/gate_observe.rs
@@ -1,14 +1,22 @@
 //! What holders of slots tell the gates, and speeds that gates pass back, on whole hosts.
 
 use gooseberrytack::{
-    gate::{Observed, ReleaseObserved, ReleasedSlot, Sample},
-    kernel::Call,
+    gate::{CountsReply, Observed, Release, ReleaseObserved, ReleasedSlot, Sample, gate_key},
+    kernel::{Call, Host},
     pass::LoadReport,
+    settings::Settings,
+    wire::{Name, Peer},
 };
 use standin::{EngineConfig, Harness, Plan, wait_for};
-use std::time::Duration;
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex},
+    thread,
+    time::Duration,
+};
 
-fn harness(tune: fn(&mut gooseberrytack::settings::Settings)) -> Harness {
+fn harness(tune: fn(&mut Settings)) -> Harness {
     let engine = EngineConfig {
         token_us: 2_000,
         ..EngineConfig::default()
@@ -25,7 +33,7 @@
 
 /// Messages sent so far to tell gates of observations.
 fn told(harness: &Harness) -> bool {
-    let text = |host: &gooseberrytack::kernel::Host| host.meters.text().expect("metrics");
+    let text = |host: &Host| host.meters.text().expect("metrics");
     let hosts = harness.hosts();
     hosts
         .iter()
@@ -121,3 +129,69 @@
     let again: ReleaseObserved = rmp_serde::from_slice(&bytes).expect("decoded");
     assert_eq!(again, call);
 }
+
+/// Answers requests as an earlier build does that knows the release but not the observations; collects their
+/// paths.
+fn earlier_build() -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("its address");
+    let paths: Arc<Mutex<Vec<String>>> = Arc::default();
+    let seen = paths.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            let mut text = [0; 4096];
+            let size = stream.read(&mut text).expect("a request");
+            let text = String::from_utf8_lossy(&text[..size]);
+            let path = text.split(' ').nth(1).unwrap_or_default().to_string();
+            let (status, body) = match path == Release::PATH {
+                true => (
+                    200,
+                    rmp_serde::to_vec(&CountsReply::default()).expect("a body"),
+                ),
+                false => (404, Vec::new()),
+            };
+            seen.lock().expect("paths").push(path);
+            let length = body.len();
+            let head = format!(
+                "HTTP/1.1 {status} x\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n"
+            );
+            let _ = stream.write_all(&[head.into_bytes(), body].concat());
+        }
+    });
+    (addr, paths)
+}
+
+/// A host that runs an earlier build must get every release, and not the unknown message again and again.
+#[test]
+fn send_observed_to_earlier_build_falls_back_to_release() {
+    let harness = harness(|s| s.learn = true);
+    let host = harness.host(0);
+    let owner = |name: &Name| host.members.owner(&gate_key(name));
+    let names: Vec<Name> = (0..100).map(|i| format!("x{i}").into()).collect();
+    let is_other = |name: &&Name| owner(name).is_some_and(|o| o.name != host.me.name);
+    let server = names.iter().find(is_other).expect("a gate elsewhere");
+    let (addr, paths) = earlier_build();
+    let peer = Peer {
+        addr,
+        ..owner(server).expect("a gate")
+    };
+    for id in ["a", "b"] {
+        let observed = Observed {
+            first: None,
+            gap: Some(Duration::from_millis(30)),
+            span: Duration::ZERO,
+            at: host.now(),
+            load: None,
+        };
+        host.gates.held.observe(server, observed);
+        let slot = ReleasedSlot {
+            server: server.clone(),
+            id: id.into(),
+            used: 1,
+        };
+        host.gates.held.send_observed(host, &peer, vec![slot]);
+    }
+    let seen = paths.lock().expect("paths").clone();
+    assert_eq!(seen, [ReleaseObserved::PATH, Release::PATH, Release::PATH]);
+}
