Use load reports on the host that read them

A report comes with the head of an answer. When the attempt has ended and its gate is told, the report is mostly older than the 300 ms after which it has no effect. The host that read it now uses it, relative to the mean that the gate states with the speed.

--- a/src/gate/learned.rs
+++ b/src/gate/learned.rs
@@ -87,6 +87,8 @@
     pub full: u32,
     /// Learned concurrency limit.
     pub limit: u32,
+    /// Mean percentage that load reports stated while the speed was learned.
+    pub usual: u32,
     /// Percentage of the expected time that work takes now by a fresh load report, and the time since in
     /// milliseconds.
     pub hint: Option<(u32, u32)>,
@@ -237,6 +239,7 @@
             knee: micros(self.levels[self.level(f64::from(self.applied))]),
             full: micros(full),
             limit: self.applied,
+            usual: self.usual as u32,
             hint: self.hint(now),
         })
     }
--- a/src/route/expected.rs
+++ b/src/route/expected.rs
@@ -119,6 +119,7 @@
         knee: middle(|s| s.knee)?,
         full: middle(|s| s.full)?,
         limit: u32::MAX,
+        usual: 100,
         hint: None,
     };
     for (load, speed) in servers {
--- a/src/route/speeds.rs
+++ b/src/route/speeds.rs
@@ -16,6 +16,8 @@
 
 /// Age at which a speed is forgotten. A server whose gate is silent for longer is taken for an average one.
 const SPEED_AGE: Duration = Duration::from_secs(30);
+/// Age at which a load report has no effect any more.
+const REPORT_AGE: Duration = Duration::from_millis(300);
 /// Least time between two log lines about invalid load reports.
 const LOG_EVERY: Duration = Duration::from_secs(10);
 /// Longest part of an invalid value in the log, in characters.
@@ -32,6 +34,8 @@
     /// Mean number of events of online answers.
     events: Mutex<f32>,
     logged: Mutex<Option<Time>>,
+    /// Percentages of the load reports that this host read itself, and when.
+    reports: Mutex<Vec<(Name, u32, Time)>>,
 }
 
 impl Speeds {
@@ -72,11 +76,36 @@
         (age < SPEED_AGE).then_some((known[at].1, age))
     }
 
+    /// Records that `server` reported `percent` of the usual time at `now`.
+    pub fn note_report(&self, now: Time, server: &Name, percent: u32) {
+        let mut reports = self.reports.lock().expect("reports");
+        reports.retain(|(name, _, at)| name != server && now.saturating_sub(*at) < REPORT_AGE);
+        reports.push((server.clone(), percent, now));
+    }
+
+    /// The speed of `server` and the age of its hint; a report that this host just read is the newer one.
+    fn hinted(&self, now: Time, server: &Name, known: (Speed, Duration)) -> (Speed, Duration) {
+        let reports = self.reports.lock().expect("reports");
+        let own = reports.iter().find(|(name, _, _)| name == server);
+        let Some((_, percent, at)) = own else {
+            return known;
+        };
+        let age_ms = now.saturating_sub(*at).as_millis() as u32;
+        let relative = percent.saturating_mul(100) / known.0.usual.max(1);
+        let hint = Some((relative, age_ms));
+        (Speed { hint, ..known.0 }, Duration::ZERO)
+    }
+
     /// What each of `servers` promises to a request; `None` if no speed is known.
     pub fn assess(&self, now: Time, servers: &[(&Name, bool, Load)]) -> Option<Vec<Expected>> {
         let mut known: Vec<_> = servers
             .iter()
-            .map(|(name, _, load)| (*load, self.get(now, name)))
+            .map(|(name, _, load)| {
+                (
+                    *load,
+                    self.get(now, name).map(|s| self.hinted(now, name, s)),
+                )
+            })
             .collect();
         assume(&mut known)?;
         let events = self.events.lock().expect("events").max(1.0);
@@ -129,7 +158,13 @@
         }
         match statement {
             LoadStatement::Absent => None,
-            LoadStatement::Report(report) => Some((report, self.now())),
+            LoadStatement::Report(report) => {
+                if let Some(percent) = report.percent {
+                    let speeds = &self.routes.speeds;
+                    speeds.note_report(self.now(), &slot.server, percent);
+                }
+                Some((report, self.now()))
+            }
             LoadStatement::Invalid(value) => {
                 if self.routes.speeds.may_log(self.now()) {
                     let value: String = value.chars().take(QUOTED_MAX).collect();
--- a/tests/route_expected.rs
+++ b/tests/route_expected.rs
@@ -2,8 +2,8 @@
 
 use gooseberrytack::{
     clock::Time,
-    gate::{Counts, Learned, Sample, Speed},
-    route::{Availability, Candidate, Expected, Load, assume, expected, fan_out, order},
+    gate::{Counts, Learned, Sample, Speed, ToldSpeed},
+    route::{Availability, Candidate, Expected, Load, Speeds, assume, expected, fan_out, order},
     wire::Class,
 };
 use rand::{Rng, SeedableRng};
@@ -313,6 +313,7 @@
     knee: 36_000,
     full: 90_000,
     limit: 4,
+    usual: 100,
     hint: None,
 };
 
@@ -413,6 +414,7 @@
         knee: n,
         full: n,
         limit: n,
+        usual: n,
         hint: Some((n, n)),
     });
     for (speed, count) in odd.iter().flat_map(|s| [(s, 0), (s, u32::MAX)]) {
@@ -450,3 +452,34 @@
     assert_eq!((load.counts.online, load.counts.batch), (4, 2));
     assert_eq!(speed.map(|(s, _)| s.step), Some(SPEED.step));
 }
+
+/// A fresh report must count by what is usual, fade, and have no effect where no speed is known.
+#[test]
+fn assess_own_report_is_relative_and_fades() {
+    let (speeds, now, name) = (Speeds::default(), Time::from_secs(99), "s".into());
+    let at = |ms| now + Duration::from_millis(ms);
+    let named = [(&name, true, load(1, 0))];
+    speeds.note_report(now, &name, 500);
+    assert_eq!(speeds.assess(now, &named), None);
+    let speed = Speed {
+        usual: 250,
+        ..SPEED
+    };
+    speeds.learn(
+        now,
+        &[ToldSpeed {
+            server: name.clone(),
+            speed,
+            age: Duration::from_secs(20),
+        }],
+    );
+    let step = |at| speeds.assess(at, &named).expect("a speed")[0].step;
+    let usual = step(at(300));
+    assert!((step(now) / usual - 2.0).abs() < 0.01);
+    assert!((step(at(150)) / usual - 1.5).abs() < 0.01);
+    speeds.note_report(now, &name, 250);
+    assert_eq!(step(now), usual);
+    speeds.note_report(now, &name, u32::MAX);
+    assert!((step(now) / usual - 2.0).abs() < 0.01);
+    assert_eq!(speeds.assess(now + Duration::from_secs(10), &named), None);
+}
