--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -5,6 +5,7 @@
     cancel::Preempted,
     gate_key,
     headroom::Headroom,
+    learned::Learned,
     limit::Confirmation,
     queue::Queue,
     slot::{Counts, Effects, SlotRequest, Verdict},
@@ -63,6 +64,8 @@
     /// Host that last asked for a slot.
     pub(super) last_holder: Name,
     pub(super) headroom: Headroom,
+    /// Its speed and concurrency limit, if the host learns them.
+    pub(super) learned: Learned,
 }
 
 #[derive(Debug)]
@@ -126,6 +129,7 @@
         inner.note_ownership(is_owner, host.now());
         inner.last_holder = request.holder.clone();
         inner.follow_limit(host, &server, &request.holder);
+        inner.follow_learned(host, &server);
         if request.class == Class::Batch {
             inner.queue.note_served(&request.workspace, call.served);
         }
@@ -139,6 +143,7 @@
             (inner, verdict) = waited;
         }
         inner.note_verdict(host, request, verdict);
+        inner.note_running(host);
         if verdict == Verdict::Granted && request.class == Class::Online {
             host.note_granted_stream(request, &server.software);
         }
@@ -220,6 +225,7 @@
                     inner.queue.release_unsent(host.now(), &slot.id)
                 }
             };
+            inner.note_running(host);
             self.apply(host, &gate, &mut inner, effects);
             inner.queue.counts()
         });
@@ -288,6 +294,7 @@
             inner.queue.expire(host.now());
             inner.follow_headroom(host);
             let effects = inner.queue.serve(host.now());
+            inner.note_running(host);
             self.apply(host, &gate, &mut inner, effects);
         }
     }
@@ -305,7 +312,7 @@
 
     /// Counts of every server that has a gate on this host.
     pub fn counts(&self) -> Vec<(Name, Counts)> {
-        let all = self.gates.lock().expect("gates").clone();
+        let all = self.all();
         let counts = |g: &Arc<Gate>| (g.server.clone(), g.lock().queue.counts());
         all.iter().map(counts).collect()
     }
@@ -328,6 +335,10 @@
         self.preempted.notify_all();
     }
 
+    pub(super) fn all(&self) -> Vec<Arc<Gate>> {
+        self.gates.lock().expect("gates").clone()
+    }
+
     pub(super) fn find(&self, server: &str) -> Option<Arc<Gate>> {
         let gates = self.gates.lock().expect("gates");
         let at = gates.binary_search_by(|g| (*g.server).cmp(server)).ok()?;
@@ -348,6 +359,7 @@
                         confirmation: Confirmation::default(),
                         last_holder: Name::default(),
                         headroom: Headroom::default(),
+                        learned: Learned::new(server.slots, now),
                     }),
                 });
                 gates.insert(at, gate.clone());
--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -5,6 +5,7 @@
     gate_key,
     grant::weight,
     limit,
+    observe::Observations,
     release::{Outbox, add},
     slot::{Counts, SlotRequest, Verdict},
     suspect,
@@ -38,6 +39,8 @@
     pub(super) slots: Mutex<Vec<GrantedSlot>>,
     pub(super) outbox: Mutex<Outbox>,
     pub(super) queued: Condvar,
+    /// What the gates are to be told with the next releases.
+    pub(super) observations: Mutex<Observations>,
     /// Hosts that failed to answer within the last `DOWN_TIME`.
     down: Mutex<Vec<Down>>,
     /// Service of batch work by workspace.
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Clone)]
 pub struct Queue {
     slots: u32,
+    /// Learned limits: of batch work, and above which online requests preempt it.
+    limits: (u32, u32),
     started: Time,
     /// Sorted by id.
     held: Vec<Held>,
@@ -76,6 +78,7 @@
     pub fn new(slots: u32, now: Time) -> Self {
         Self {
             slots: slots.max(1),
+            limits: (u32::MAX, u32::MAX),
             started: now,
             held: Vec::new(),
             waiting: Vec::new(),
@@ -97,6 +100,11 @@
         self.reserve = reserve;
     }
 
+    /// Grants batch work only below `batch` requests, and has online ones preempt it above `all`.
+    pub fn set_concurrency(&mut self, batch: u32, all: u32) {
+        self.limits = (batch, all);
+    }
+
     /// Grants at most `rate` slots per second from `now` on; any number with `None`.
     pub fn set_rate(&mut self, rate: Option<f64>, now: Time) {
         self.set_limits(rate, None, now);
@@ -247,6 +255,7 @@
     /// ended the attempt.
     pub fn serve(&mut self, now: Time) -> Effects {
         let mut effects = Effects::default();
+        let mut online = 0;
         while let Some(at) = self.next() {
             let class = self.waiting[at].request.class;
             if !self.has_room(now, class) || !self.take_token(now, class) {
@@ -261,13 +270,14 @@
                         .serve(&request.workspace, next.weight, request.cost);
                 }
             }
+            online += usize::from(class == Class::Online);
             effects.granted.push(request.id.clone());
             let mut held = self.new_held(now, next.request, next.weight);
             held.is_charged = self.pace.is_limited();
             let at = self.find(&held.request.id).unwrap_or_else(|at| at);
             self.held.insert(at, held);
         }
-        self.preempt(&mut effects);
+        self.preempt(&mut effects, online);
         effects
     }
 
@@ -324,7 +334,10 @@
                 let is_online = |h: &&Held| h.request.class == Class::Online;
                 let online = self.active().filter(is_online).count();
                 let unused = (self.reserve as usize).saturating_sub(online);
-                self.active().count() + unused < self.slots as usize && now >= self.started + SETTLE
+                let held = self.active().count();
+                held + unused < self.slots as usize
+                    && held < self.limits.0 as usize
+                    && now >= self.started + SETTLE
             }
         }
     }
@@ -340,11 +353,13 @@
         Some(gone)
     }
 
-    /// Preempts batch attempts until the rest fit the slots. Attempts of the youngest jobs go
-    /// first, so that the jobs of a burst end one after the other instead of all late.
-    fn preempt(&mut self, effects: &mut Effects) {
+    /// Preempts batch attempts until the rest fit the slots. Attempts of the youngest jobs go first, so
+    /// that the jobs of a burst end one after the other instead of all late. Above the learned limit, each
+    /// of `online` new online requests preempts one; a limit that falls preempts none by itself.
+    fn preempt(&mut self, effects: &mut Effects, online: usize) {
         let staying = self.active().filter(|h| !h.preempted).count();
-        for _ in self.slots as usize..staying {
+        let above = |most: u32| staying.saturating_sub(most as usize);
+        for _ in 0..above(self.slots).max(above(self.limits.1).min(online)) {
             let batch = self.held.iter_mut();
             let youngest = batch
                 .filter(|h| h.request.class == Class::Batch && !h.preempted)
--- a/src/metrics/mod.rs
+++ b/src/metrics/mod.rs
@@ -92,6 +92,11 @@
         gauges.unread.set(readers.held() as i64);
         gauges.slow.set(readers.closed() as i64);
     }
+    if host.settings.learn {
+        let speeds = host.gates.queues.speeds(host.now());
+        let speeds = speeds.iter().map(|(name, s)| (&**name, s.limit, s.knee));
+        host.meters.servers(speeds);
+    }
     gauges.dropped.set(logs::dropped() as i64);
 }
 
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -1,27 +1,33 @@
 //! Chooses backend servers for a piece of work and runs it there, with retries and health checks.
 
 mod acquire;
+mod assess;
 mod attempt;
 mod choose;
 mod dispatch;
 mod ending;
+mod expected;
 mod free;
 mod health;
 mod leaving;
 mod limits;
+mod pace;
 mod passing;
 mod refused;
 mod silence;
+mod speeds;
 mod state;
 mod throttled;
 mod wait;
 
 pub use choose::{Candidate, SUBSET, fan_out, order, rendezvous, subset};
 pub use dispatch::{Sink, dispatch};
+pub use expected::{Expected, Load, assume, expected};
 pub use health::{Availability, EJECTION_FAILURES, EJECTION_MAX, EJECTION_MIN, Health, Outcome};
 pub use leaving::Departures;
 pub use limits::{Noted, ServerLimits};
 pub use passing::connect_suggests_restart;
 pub use refused::RefusalCause;
+pub use speeds::Speeds;
 pub use state::Routes;
 pub use throttled::Throttled;
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -131,12 +131,11 @@
             host.note_leaving(&slot.server, attempt.start, &slot.id);
         }
         if verdict != Verdict::Foreign {
-            host.note_limit(
-                &slot.server,
-                attempt.start,
-                &(dialect.limit)(&head),
-                &slot.id,
-            );
+            let limit = (dialect.limit)(&head);
+            host.note_limit(&slot.server, attempt.start, &limit, &slot.id);
+        }
+        if verdict == Verdict::Ours {
+            attempt.pace.load = host.load_report(slot, (dialect.load)(&head));
         }
         match verdict {
             Verdict::Ours => {}
@@ -203,6 +202,7 @@
                     self.host.note_answered(&self.segments, &slot.id);
                 }
                 has_event = true;
+                attempt.pace.note(self.host.now());
                 if !empty.is_empty() {
                     empty.append(&mut event.raw);
                     event.raw = std::mem::take(&mut empty);
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -5,6 +5,7 @@
     health::{Availability, Health, Outcome},
     leaving::Departures,
     limits::ServerLimits,
+    speeds::Speeds,
     throttled::Throttled,
 };
 use crate::{
@@ -25,7 +26,7 @@
 };
 
 /// Age from which counts of a gate are no longer used.
-const COUNTS_AGE: Duration = Duration::from_secs(1);
+pub(super) const COUNTS_AGE: Duration = Duration::from_secs(1);
 
 /// Health and load of servers as one host knows them, and its retry budget, for all its requests.
 #[derive(Debug)]
@@ -41,18 +42,20 @@
     pub limits: ServerLimits,
     /// Servers that lately took no request because of their limits.
     pub throttled: Throttled,
+    /// Speeds of servers, if they are learned.
+    pub speeds: Speeds,
     /// Number of requests and batch items on this host that wait in queues for a slot.
     pub waiting: AtomicUsize,
 }
 
 /// What the host knows about one server.
 #[derive(Debug, Clone)]
-struct ServerStats {
-    server: Name,
+pub(super) struct ServerStats {
+    pub(super) server: Name,
     /// Online requests of this host at the server.
-    online: u32,
-    counts: Counts,
-    counts_at: Option<Time>,
+    pub(super) online: u32,
+    pub(super) counts: Counts,
+    pub(super) counts_at: Option<Time>,
     health: Health,
 }
 
@@ -79,6 +82,7 @@
             departures: Departures::default(),
             limits: ServerLimits::default(),
             throttled: Throttled::default(),
+            speeds: Speeds::default(),
             waiting: AtomicUsize::new(0),
         }
     }
@@ -248,6 +252,9 @@
                 candidate.with_limit(is_limited, is_throttled)
             })
             .collect();
+        if host.settings.learn {
+            self.assess(&stats, &servers, &mut all, now);
+        }
         drop(stats);
         // Work that may not be repeated must not be risked as a probe.
         if !work.repeatable {
@@ -384,6 +391,7 @@
         load: 0.0,
         spare: spare(slots, Counts::default()),
         is_limited: false,
+        expected: None,
         availability: Availability::Available,
     };
     let Ok(at) = stats.binary_search_by(|s| s.server.cmp(&server.name)) else {
