Measure a batch backlog by the item that has waited longest

A job that lasted longer than backlog_ms ended the headroom, because the time of its first denial was kept for as long as any of its items waited. The age is now that of an item that waits, and a grant ends it. Items are told apart by the part of the attempt id that stays when an item returns to its job.

Only requests that waited and found no slot free for batch work count as denied; questions without a wait, the throttle and a new gate do not.

Preempted items had aged with their job, which ended the headroom now and then.

--- a/src/gate/headroom.rs
+++ b/src/gate/headroom.rs
@@ -19,14 +19,14 @@
 /// Time after which an observation counts for 1/e of a new one: about two periods of peak and trough
 /// (5.8 s), so that the peak is still known at the end of a trough.
 const MEMORY: Duration = Duration::from_secs(12);
-/// Time since an item of a job was last denied a slot up to which the job counts as waiting. Items that
-/// wait ask at least every half second.
+/// Time since an item was last denied a slot up to which it counts as waiting. Items that wait ask at least
+/// every half second.
 const WAITING: Duration = Duration::from_secs(1);
-/// Time since an item of a job was last denied a slot after which the job is forgotten. Its items move
-/// from gate to gate every few seconds.
-const FORGET: Duration = Duration::from_secs(20);
-/// Most jobs remembered.
-const JOBS_MAX: usize = 256;
+/// Time since an item was last denied a slot after which it is forgotten. Items move from gate to gate every few
+/// seconds.
+const ITEM_EXPIRY: Duration = Duration::from_secs(20);
+/// Most items remembered.
+const ITEMS_MAX: usize = 1024;
 
 /// How many slots a gate keeps free of batch work.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -34,11 +34,11 @@
     /// Part of the time, in percent, for which the slots kept free cover the online requests; zero keeps
     /// none free.
     pub percent: u32,
-    /// Time for which a job has waited from which fewer slots are kept free, and none from twice that.
+    /// Time for which an item has waited from which fewer slots are kept free, and none from twice that.
     pub backlog: Duration,
 }
 
-/// Online requests seen at one gate, and the batch jobs that wait there.
+/// Online requests seen at one gate, and the batch items that wait there.
 #[derive(Debug, Clone, Default)]
 pub struct Headroom {
     /// Seconds with each number of online requests, earlier ones counting less.
@@ -46,15 +46,18 @@
     /// Online requests since `at`, the time of the last observation.
     online: usize,
     at: Option<Time>,
-    /// Sorted by job.
-    jobs: Vec<Job>,
+    /// Sorted by key.
+    items: Vec<Item>,
     /// Slots that the queue was last told to keep free.
     kept: u32,
 }
 
+/// Log position of the job, workspace, and the item's own part of the attempt id.
+type ItemKey = (Pos, Name, Name);
+
 #[derive(Debug, Clone)]
-struct Job {
-    key: (Pos, Name),
+struct Item {
+    key: ItemKey,
     first: Time,
     last: Time,
 }
@@ -78,21 +81,29 @@
         self.online = online as usize;
     }
 
-    /// Records that an item of the job accepted at `since` got no slot at `now`.
-    pub fn note_denied(&mut self, now: Time, workspace: &Name, since: Pos) {
-        self.jobs.retain(|j| j.last + FORGET > now);
-        let key = (since, workspace.clone());
-        match self.jobs.binary_search_by(|j| j.key.cmp(&key)) {
-            Ok(at) => self.jobs[at].last = now,
-            Err(at) if self.jobs.len() < JOBS_MAX => {
+    /// Records that the item that `request` is for waited until `now` and got no slot.
+    pub fn note_denied(&mut self, now: Time, request: &SlotRequest) {
+        self.items.retain(|i| i.last + ITEM_EXPIRY > now);
+        let key = item_key(request);
+        match self.items.binary_search_by(|i| i.key.cmp(&key)) {
+            Ok(at) => self.items[at].last = now,
+            Err(at) if self.items.len() < ITEMS_MAX => {
                 let (first, last) = (now, now);
-                self.jobs.insert(at, Job { key, first, last });
+                self.items.insert(at, Item { key, first, last });
             }
-            // The jobs that are remembered waited for longer.
+            // The items that are remembered waited for longer.
             Err(_) => {}
         }
     }
 
+    /// Records that the item that `request` is for got a slot. If it is preempted, its wait begins anew.
+    pub fn note_granted(&mut self, request: &SlotRequest) {
+        let key = item_key(request);
+        if let Ok(at) = self.items.binary_search_by(|i| i.key.cmp(&key)) {
+            self.items.remove(at);
+        }
+    }
+
     /// Slots, of `slots`, to keep free of batch work at `now`, those that online requests hold included. One
     /// slot at least remains for batch work.
     pub fn reserve(&self, now: Time, slots: u32, rule: Reserve) -> u32 {
@@ -116,14 +127,24 @@
         self.weights.len().saturating_sub(1) as u32
     }
 
-    /// Time since the first denial of the job that has waited longest.
+    /// Time since the first denial of the item that has waited longest, of those that wait now.
     fn backlog_age(&self, now: Time) -> Duration {
-        let waiting = self.jobs.iter().filter(|j| j.last + WAITING > now);
-        let first = waiting.map(|j| j.first).min();
+        let waiting = self.items.iter().filter(|i| i.last + WAITING > now);
+        let first = waiting.map(|i| i.first).min();
         first.map_or(Duration::ZERO, |first| now.saturating_sub(first))
     }
 }
 
+/// What the attempts of an item have in common: their ids are `JOB/PART.INDEX.EPOCH.ATTEMPT`, and later slot
+/// requests have a number added. An item that returns to its job without a slot has a new attempt id.
+fn item_key(request: &SlotRequest) -> ItemKey {
+    let id = &*request.id;
+    let part = id.rfind('/').map_or(0, |at| at + 1);
+    let end = id[part..].match_indices('.').nth(1);
+    let item = &id[..end.map_or(id.len(), |(at, _)| part + at)];
+    (request.since, request.workspace.clone(), item.into())
+}
+
 impl Queues {
     /// Sum, over the gates of this host, of the slots kept free of batch work.
     pub fn headroom(&self) -> u32 {
@@ -146,12 +167,19 @@
         self.queue.set_reserve(self.headroom.kept);
     }
 
-    /// Records the verdict on a request for a slot.
+    /// Records the verdict on a request for a slot. Only requests that waited count as denied, because others ask
+    /// elsewhere at once, and only those that the throttle or a new gate would not have held back anyway.
     pub(super) fn note_verdict(&mut self, host: &Host, request: &SlotRequest, verdict: Verdict) {
-        let is_denied = request.class == Class::Batch && verdict != Verdict::Granted;
-        if is_denied && host.settings.reserve.percent > 0 {
-            self.headroom
-                .note_denied(host.now(), &request.workspace, request.since);
+        if request.class != Class::Batch || host.settings.reserve.percent == 0 {
+            return;
+        }
+        let now = host.now();
+        match verdict {
+            Verdict::Granted => self.headroom.note_granted(request),
+            Verdict::Waiting if self.queue.lacks_batch_slot(now) => {
+                self.headroom.note_denied(now, request);
+            }
+            Verdict::Waiting | Verdict::Busy => {}
         }
     }
 }
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -305,6 +305,11 @@
         }
     }
 
+    /// Whether batch work gets no slot because none is free for it, and not because the gate is new.
+    pub fn lacks_batch_slot(&self, now: Time) -> bool {
+        now >= self.started + SETTLE && !self.has_room(now, Class::Batch)
+    }
+
     fn active(&self) -> impl Iterator<Item = &Held> {
         self.held.iter().filter(|h| !h.ended)
     }
