Bound and recheck requests that are sent again in their slot

A resend bypassed the throttle of its gate, which is charged for one request per grant, and used the server's address without a new look at it. There are now at most two resends with increasing pauses within refused_ms of the first refusal. Before and after each pause the deadline, stops, departures, limits and the server's entry are checked; otherwise the last refusal stands.

The registration of the attempt is kept over the pauses, so that a batch item that is preempted in one ends as preempted before it is sent again. Places in the queues of other servers are given up before a resend.

--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -325,6 +325,12 @@
         self.find(server)?.lock().owned_since
     }
 
+    /// Whether the gate of `server` runs on this host and throttles its grants.
+    pub fn is_throttled(&self, server: &str) -> bool {
+        self.find(server)
+            .is_some_and(|g| g.lock().queue.is_throttled())
+    }
+
     /// Number of requests for `model` that hold a slot of `server` or wait for one.
     pub fn running(&self, server: &str, model: &str) -> usize {
         self.find(server)
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Whether the number of grants per second is limited.
+    pub fn is_throttled(&self) -> bool {
+        self.throttle.is_some()
+    }
+
     /// Time until the throttle lets the next waiting request pass; `None` if it holds none back.
     pub fn throttle_delay(&self, now: Time) -> Option<Duration> {
         let next = &self.waiting[self.next()?].request;
--- a/src/pass/registry.rs
+++ b/src/pass/registry.rs
@@ -72,6 +72,20 @@
 }
 
 impl Registration<'_> {
+    /// Registers another connection of the same attempt; `false` if the attempt was ended before.
+    pub fn replace(&mut self, closer: Closer) -> bool {
+        let mut list = self.registry.lock();
+        // Under the lock, so that an end closes either connection.
+        if self.closer.is_closed() {
+            return false;
+        }
+        if let Ok(at) = list.binary_search_by(|u| u.id.cmp(&self.id)) {
+            list[at].closer = closer.clone();
+        }
+        self.closer = closer;
+        true
+    }
+
     /// Whether [`AttemptRegistry::end`] ended the attempt.
     pub fn is_ended(&self) -> bool {
         self.closer.is_closed()
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -32,13 +32,15 @@
 /// Longest text of a batch item: the size of a page of results.
 const ITEM_TEXT_MAX_BYTES: usize = 1 << 20;
 
-impl<S: Sink> Run<'_, S> {
-    /// Sends `request` to the slot's server, to resume after the last event passed back.
+impl<'a, S: Sink> Run<'a, S> {
+    /// Sends `request` to the slot's server, to resume after the last event passed back. `entry` registers the
+    /// attempt; it is there already if the request was sent before in the same slot.
     pub(super) fn forward(
         &mut self,
         slot: &Slot,
         attempt: &mut Attempt,
         request: &Request,
+        entry: &mut Option<Registration<'a>>,
     ) -> Result<Answer, Abort> {
         let host = self.host;
         let Some(dialect) = host.dialect else {
@@ -49,7 +51,15 @@
         let mut conn = Conn::open(attempt.addr, CONNECT_TIMEOUT.min(left)).map_err(|e| {
             Abort::Failed(Fail::new(Kind::Unreachable, format!("backend server: {e}")))
         })?;
-        let entry = host.passing.register(&slot.id, conn.closer());
+        let entry = match entry {
+            Some(entry) => {
+                if !entry.replace(conn.closer()) {
+                    return Err(self.lost("the attempt was ended", true));
+                }
+                entry
+            }
+            None => entry.insert(host.passing.register(&slot.id, conn.closer())),
+        };
         let workspace = &*self.work.workspace;
         let context = AttemptContext {
             request,
@@ -62,7 +72,7 @@
         self.sent += 1;
         self.lost_early = false;
         let result = match conn.send(&head_text(request, dialect, &fields), &request.body) {
-            Ok(()) => self.read_answer(slot, attempt, request, dialect, &mut conn, &entry),
+            Ok(()) => self.read_answer(slot, attempt, request, dialect, &mut conn, entry),
             Err(e) => Err(self.lost(&format!("the request was cut: {e}"), entry.is_ended())),
         };
         if let Err(Abort::Failed(fail)) = &result
--- a/src/route/refused.rs
+++ b/src/route/refused.rs
@@ -6,9 +6,10 @@
 };
 use crate::{
     clock::Clock,
-    error::{Fail, Kind},
+    config::Server,
+    error::Kind,
     gate::{Counts, Slot},
-    pass::{Conn, Head, Request},
+    pass::{Conn, Head, Registration, Request},
     wire::{Answer, Class},
 };
 use std::time::Duration;
@@ -21,11 +22,11 @@
 /// Wait for the body of a refusal, which usually arrives with its head.
 const BODY_WAIT: Duration = Duration::from_millis(1);
 
-/// Pause before an online request is sent again in its slot: less than the pause before another server is tried.
-const ONLINE_PAUSE: Duration = Duration::from_millis(10);
-/// Pause before a batch item is sent again in its slot: a step of a server, at whose end it notices closed
-/// connections.
-const BATCH_PAUSE: Duration = Duration::from_millis(25);
+/// Pauses before an online request is sent again in its slot. The first is less than the pause before another server
+/// is tried; both together are more than a step of a server (25 ms), at whose end it notices closed connections.
+const ONLINE_PAUSES: [Duration; 2] = [Duration::from_millis(10), Duration::from_millis(25)];
+/// Pauses before a batch item is sent again in its slot: a step of a server, then more than one.
+const BATCH_PAUSES: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(40)];
 
 /// Why a server refused a request without running it, as far as the counts of its gate tell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,6 +70,15 @@
     }
 }
 
+/// Pause before a refused request is sent again in its slot, after `resends` earlier times, if `left` remains for it.
+pub fn resend_pause(class: Class, resends: usize, left: Duration) -> Option<Duration> {
+    let pauses = match class {
+        Class::Online => ONLINE_PAUSES,
+        Class::Batch => BATCH_PAUSES,
+    };
+    pauses.get(resends).copied().filter(|pause| *pause <= left)
+}
+
 impl<S: Sink> Run<'_, S> {
     /// Sends `request` to the slot's server, and again in the same slot while the server refuses it because it
     /// has yet to notice that an earlier attempt was ended. To give the slot back would have the gate grant
@@ -80,38 +90,62 @@
         request: &Request,
     ) -> Result<Answer, Abort> {
         let host = self.host;
-        let end = host.now() + host.settings.refused;
-        let pause = match self.work.class {
-            Class::Online => ONLINE_PAUSE,
-            Class::Batch => BATCH_PAUSE,
-        };
+        // Kept over the pauses, so that a preemption in one is noticed.
+        let mut entry = None;
+        let (mut end, mut resends) = (None, 0);
         loop {
-            let result = self.forward(slot, attempt, request);
-            let cause = match &result {
-                Err(Abort::Failed(Fail {
-                    kind: Kind::ServerFull,
-                    ..
-                })) => self.refused,
-                _ => None,
-            };
-            // Each request counts toward the limit that a server states.
-            let is_limited = host
-                .routes
-                .limits
-                .stated(&slot.server, host.now())
-                .is_some();
-            let may_resend = cause.is_some_and(RefusalCause::is_overlap) && !is_limited;
-            if !may_resend || host.now() + pause > end.min(self.work.deadline) || host.is_stopping()
-            {
+            let result = self.forward(slot, attempt, request, &mut entry);
+            let is_full =
+                matches!(&result, Err(Abort::Failed(fail)) if fail.kind == Kind::ServerFull);
+            let is_overlap = self.refused.is_some_and(RefusalCause::is_overlap);
+            if !is_full || !is_overlap || !self.may_resend(slot, attempt) {
                 return result;
             }
+            let end = *end.get_or_insert(host.now() + host.settings.refused);
+            let left = end.min(self.work.deadline).saturating_sub(host.now());
+            let Some(pause) = resend_pause(self.work.class, resends, left) else {
+                return result;
+            };
             self.sink.check().map_err(Abort::Final)?;
             host.clock.sleep(pause);
+            if entry.as_ref().is_some_and(Registration::is_ended) {
+                return match self.work.class {
+                    Class::Batch => Err(Abort::Preempted),
+                    Class::Online => result,
+                };
+            }
+            if !self.may_resend(slot, attempt) {
+                return result;
+            }
+            self.places = None;
             // The time to the first event is the server's own.
             attempt.began = host.now();
+            resends += 1;
         }
     }
 
+    /// Whether the slot's server may be sent the request again: it is the same as before, takes work, and limits
+    /// no requests, because the gate charged its throttle for one request only.
+    fn may_resend(&self, slot: &Slot, attempt: &Attempt) -> bool {
+        let (host, now) = (self.host, self.host.now());
+        let is_off = host.settings.refused.is_zero();
+        if is_off || now >= self.work.deadline || host.is_dead() || host.is_stopping() {
+            return false;
+        }
+        let server = host.config.view(|s| s.server(&slot.server).cloned());
+        let is_same = |s: &Server| {
+            s.addr == attempt.addr && s.start == attempt.start && s.software == attempt.software
+        };
+        let Some(server) = server.filter(|s| is_same(s) && !s.leaving) else {
+            return false;
+        };
+        let routes = &host.routes;
+        let is_limited = routes.limits.rate(&server).is_some()
+            || routes.throttled.has(&server.name, now)
+            || host.gates.queues.is_throttled(&server.name);
+        !is_limited && !routes.departures.has(&server)
+    }
+
     /// Logs and counts a refusal; the request was not run.
     pub(super) fn note_refused(&mut self, slot: &Slot, start: u64, head: &Head, conn: &mut Conn) {
         let cause = RefusalCause::of(head.status, slot.counts);
