--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -172,6 +172,17 @@
         }
     }
 
+    /// Takes the bytes of the body that were already received, without reading from the connection; none if they are
+    /// invalid.
+    pub fn buffered(&mut self) -> Vec<u8> {
+        let mut out = Vec::new();
+        let bytes = std::mem::take(&mut self.buffer);
+        match self.body.as_mut().map(|body| body.feed(&bytes, &mut out)) {
+            Some(Ok(_)) => out,
+            Some(Err(_)) | None => Vec::new(),
+        }
+    }
+
     fn fill(&mut self, limit: Duration) -> Result<usize, ReadError> {
         let limit = limit.max(Duration::from_millis(1));
         let mut bytes = [0; READ_BYTES];
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -21,6 +21,6 @@
 pub use health::{Availability, EJECTION_FAILURES, EJECTION_MAX, EJECTION_MIN, Health, Outcome};
 pub use leaving::Departures;
 pub use limits::{Noted, ServerLimits};
-pub use refused::{RefusalCause, resend_pause};
+pub use refused::{RefusalCause, RefusalLog, logged_fields, resend_pause};
 pub use state::Routes;
 pub use throttled::Throttled;
--- a/src/route/refused.rs
+++ b/src/route/refused.rs
@@ -5,22 +5,30 @@
     dispatch::{Run, Sink},
 };
 use crate::{
-    clock::Clock,
+    clock::{Clock, Time},
     config::Server,
     error::Kind,
     gate::{Counts, Slot},
     pass::{Conn, Head, Registration, Request},
-    wire::{Answer, Class},
+    wire::{Answer, Class, Name},
 };
-use std::time::Duration;
+use std::{sync::Mutex, time::Duration};
 
 /// Status of a server that is not the one that was meant.
 const OTHER_SERVER_STATUS: u16 = 421;
+/// Fields of a refusal that are logged. Others may hold what authenticates a server or its answers.
+const LOGGED_FIELDS: [&str; 5] = [
+    "connection",
+    "content-length",
+    "content-type",
+    "retry-after",
+    "server",
+];
 /// Most characters of the fields and of the body of a refusal that are logged.
 const FIELDS_MAX: usize = 300;
 const BODY_MAX: usize = 120;
-/// Wait for the body of a refusal, which usually arrives with its head.
-const BODY_WAIT: Duration = Duration::from_millis(1);
+/// Time in which one refusal of a server and cause is logged.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Pauses before an online request is sent again in its slot. The first is less than the pause before another server
 /// is tried; both together are more than a step of a server (25 ms), at whose end it notices closed connections.
@@ -70,6 +78,34 @@
     }
 }
 
+/// When refusals were last logged.
+#[derive(Debug, Default)]
+pub struct RefusalLog {
+    /// Those of the last [`LOG_INTERVAL`].
+    logged: Mutex<Vec<(Name, RefusalCause, Time)>>,
+}
+
+impl RefusalLog {
+    /// Whether a refusal by `server` at `now` is to be logged; if so, it is the one of its interval.
+    pub fn take_turn(&self, server: &Name, cause: RefusalCause, now: Time) -> bool {
+        let mut logged = self.logged.lock().expect("logged refusals");
+        logged.retain(|(.., at)| *at + LOG_INTERVAL > now);
+        let is_due = !logged.iter().any(|(s, c, _)| s == server && *c == cause);
+        if is_due {
+            logged.push((server.clone(), cause, now));
+        }
+        is_due
+    }
+}
+
+/// The fields of a refusal that are logged, as text.
+pub fn logged_fields(head: &Head) -> String {
+    let fields = head.fields.iter();
+    let fields = fields.filter(|(name, _)| LOGGED_FIELDS.contains(&&**name));
+    let fields: Vec<String> = fields.map(|(n, v)| format!("{n}={v}")).collect();
+    fields.join(" ").chars().take(FIELDS_MAX).collect()
+}
+
 /// Pause before a refused request is sent again in its slot, after `resends` earlier times, if `left` remains for it.
 pub fn resend_pause(class: Class, resends: usize, left: Duration) -> Option<Duration> {
     let pauses = match class {
@@ -146,22 +182,22 @@
         !is_limited && !routes.departures.has(&server)
     }
 
-    /// Logs and counts a refusal; the request was not run.
+    /// Counts a refusal and logs it unless one like it was logged just before; the request was not run.
     pub(super) fn note_refused(&mut self, slot: &Slot, start: u64, head: &Head, conn: &mut Conn) {
         let cause = RefusalCause::of(head.status, slot.counts);
         self.sent -= 1;
         self.refused = Some(cause);
         self.host.meters.server_refused(cause.name());
-        let mut body = Vec::new();
-        // The reason in the body is missing if it takes longer.
-        let _ = conn.read(BODY_WAIT, &mut body);
+        let (log, now) = (&self.host.routes.refusals, self.host.now());
+        if !log.take_turn(&slot.server, cause, now) {
+            return;
+        }
+        let body = conn.buffered();
         let body: String = String::from_utf8_lossy(&body)
             .chars()
             .take(BODY_MAX)
             .collect();
-        let fields = head.fields.iter().map(|(n, v)| format!("{n}={v}"));
-        let fields = fields.collect::<Vec<_>>().join(" ");
-        let fields: String = fields.chars().take(FIELDS_MAX).collect();
+        let fields = logged_fields(head);
         let Counts { online, batch, .. } = slot.counts;
         tracing::info!(
             id = &*slot.id,
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -5,6 +5,7 @@
     health::{Availability, Health, Outcome},
     leaving::Departures,
     limits::ServerLimits,
+    refused::RefusalLog,
     throttled::Throttled,
 };
 use crate::{
@@ -41,6 +42,8 @@
     pub limits: ServerLimits,
     /// Servers that lately took no request because of their limits.
     pub throttled: Throttled,
+    /// Refusals that were logged.
+    pub refusals: RefusalLog,
     /// Number of requests and batch items on this host that wait in queues for a slot.
     pub waiting: AtomicUsize,
 }
@@ -77,6 +80,7 @@
             departures: Departures::default(),
             limits: ServerLimits::default(),
             throttled: Throttled::default(),
+            refusals: RefusalLog::default(),
             waiting: AtomicUsize::new(0),
         }
     }
--- a/tests/route_refused.rs
+++ b/tests/route_refused.rs
@@ -1,9 +1,11 @@
 //! Causes of requests that servers refuse without running them.
 
 use gooseberrytack::{
+    clock::Time,
     gate::Counts,
-    pass::{AttemptRegistry, Conn},
-    route::{RefusalCause, resend_pause},
+    gate::SETTLE,
+    pass::{AttemptRegistry, Conn, Head},
+    route::{RefusalCause, RefusalLog, logged_fields, resend_pause},
     wire::Class,
 };
 use std::{net::TcpListener, time::Duration};
@@ -64,3 +66,40 @@
     drop(entry);
     assert!(!registry.end("a"));
 }
+
+// Guards against a log that a server fills by refusing all that it is sent.
+#[test]
+fn take_turn_once_per_server_cause_second() {
+    let log = RefusalLog::default();
+    let turn = |server: &str, cause, now: Time| log.take_turn(&server.into(), cause, now);
+    assert!(turn("a", RefusalCause::Filled, SETTLE));
+    assert!(!turn("a", RefusalCause::Filled, SETTLE));
+    assert!(turn("a", RefusalCause::Other, SETTLE));
+    assert!(turn("b", RefusalCause::Filled, SETTLE));
+    let late = SETTLE + Duration::from_millis(999);
+    assert!(!turn("a", RefusalCause::Filled, late));
+    let next = SETTLE + Duration::from_secs(1);
+    assert!(turn("a", RefusalCause::Filled, next));
+    assert!(!turn("a", RefusalCause::Filled, next));
+}
+
+// Guards against secrets of servers in the log.
+#[test]
+fn logged_fields_only_listed() {
+    let fields = [
+        ("retry-after", "2"),
+        ("server-seal", "secret"),
+        ("set-cookie", "secret"),
+        ("server", "engine"),
+    ];
+    let head = |fields: &[(&str, &str)]| Head {
+        status: 503,
+        fields: fields
+            .iter()
+            .map(|(n, v)| (n.to_string(), v.to_string()))
+            .collect(),
+    };
+    assert_eq!(logged_fields(&head(&fields)), "retry-after=2 server=engine");
+    let long = "x".repeat(1000);
+    assert_eq!(logged_fields(&head(&[("server", &long)])).len(), 300);
+}
