Ask servers with a free slot first within their tier only

prefer_free sorted the chosen servers again, which put servers that limit their requests before full ones without a limit and put off probes. It also took the lock for each comparison. The candidates are now marked under one lock, only for online requests and with headroom_percent set, and the order puts the full ones last in each tier.

--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -32,6 +32,8 @@
     pub spare: i32,
     /// Whether the server limits the requests that it takes.
     pub is_limited: bool,
+    /// Whether the server's recent counts leave no slot free; `false` if it has none.
+    pub is_full: bool,
     /// Whether the server may get work.
     pub availability: Availability,
 }
@@ -66,7 +68,8 @@
 
 /// Up to `most` servers to ask: one due for a probe, then the best first. Online requests with a
 /// `prefix` hash prefer the server that is likely to have the prompt's prefix cached; a hash of an
-/// empty prompt would send those requests of all hosts to the same server.
+/// empty prompt would send those requests of all hosts to the same server. Of the servers with a limit, and of those
+/// without, the full ones come last for them.
 pub fn order<R: Rng>(
     class: Class,
     prefix: Option<u64>,
@@ -90,7 +93,10 @@
                 .into_iter()
                 .partition(|c| !has_limited || (!c.is_limited && c.load < UNLIMITED_LOAD));
             for tier in [roomy, rest] {
+                let before = chosen.len();
                 take_online(tier, prefix, &mut chosen, most, rng);
+                // A request at a full server would preempt batch work.
+                chosen[before..].sort_by_key(|c| c.is_full);
             }
         }
         Class::Batch => {
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -50,7 +50,7 @@
 
 /// What the host knows about one server.
 #[derive(Debug, Clone)]
-struct ServerStats {
+pub(super) struct ServerStats {
     server: Name,
     /// Online requests of this host at the server.
     online: u32,
@@ -140,16 +140,6 @@
         (is_fresh && is_busy).then_some(c)
     }
 
-    /// Whether the recent counts of `server` leave no slot free.
-    pub(super) fn is_full(&self, server: &Name, now: Time) -> bool {
-        let stats = self.lock();
-        let at = stats.binary_search_by(|s| s.server.cmp(server));
-        at.is_ok_and(|at| {
-            let (c, at) = (stats[at].counts, stats[at].counts_at);
-            at.is_some_and(|at| at + COUNTS_AGE > now) && c.online + c.batch >= c.slots
-        })
-    }
-
     /// When a server that can run `work` takes it at the earliest, by the limits that they state; now, unless
     /// each of them was lately found to be at its limit.
     pub fn earliest_slot(
@@ -250,7 +240,10 @@
             all.retain(|c| c.availability != Availability::Probe);
         }
         let prefix = (!work.prompt.is_empty()).then(|| prefix_hash(&work.prompt));
-        let mut chosen = order(
+        if work.class == Class::Online && host.settings.reserve.percent > 0 {
+            self.mark_full(&mut all, now);
+        }
+        let chosen = order(
             work.class,
             prefix,
             &all,
@@ -261,9 +254,6 @@
             let text = "every backend server with the model is ejected or leaving; retry later";
             return Err(Fail::new(Kind::Overloaded, text));
         }
-        if host.settings.reserve.percent > 0 {
-            self.prefer_free(work.class, &mut chosen, now);
-        }
         Ok(chosen)
     }
 
@@ -316,7 +306,7 @@
             .view(|state| state.servers.iter().any(is_usable))
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<ServerStats>> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Vec<ServerStats>> {
         self.stats.lock().expect("routing state")
     }
 }
@@ -361,6 +351,16 @@
     &mut stats[at]
 }
 
+/// Whether the recent counts of `server` leave no slot free.
+pub(super) fn is_full(stats: &[ServerStats], server: &Name, now: Time) -> bool {
+    let at = stats.binary_search_by(|s| s.server.cmp(server));
+    at.is_ok_and(|at| {
+        let (c, at) = (stats[at].counts, stats[at].counts_at);
+        let held = c.online.saturating_add(c.batch);
+        at.is_some_and(|at| at + COUNTS_AGE > now) && held >= c.slots
+    })
+}
+
 fn candidate(stats: &[ServerStats], server: &Server, is_near: bool, now: Time) -> Candidate {
     let slots = server.slots.max(1);
     let mut candidate = Candidate {
@@ -369,6 +369,7 @@
         load: 0.0,
         spare: spare(slots, Counts::default()),
         is_limited: false,
+        is_full: false,
         availability: Availability::Available,
     };
     let Ok(at) = stats.binary_search_by(|s| s.server.cmp(&server.name)) else {
--- a/standin/src/sample.rs
+++ b/standin/src/sample.rs
@@ -14,6 +14,7 @@
         load: (i % 7) as f32 / 7.0,
         spare: (i % 5) as i32,
         is_limited: false,
+        is_full: false,
         availability: Availability::Available,
     }
 }
--- a/tests/route_choose.rs
+++ b/tests/route_choose.rs
@@ -24,6 +24,7 @@
         load: 0.0,
         spare: 8,
         is_limited: false,
+        is_full: false,
         availability: Availability::Available,
     };
     (0..count).map(server).collect()
@@ -218,3 +219,51 @@
     }
     assert!(limited_first > 25, "{limited_first}");
 }
+
+// Guards against preemptions at full servers while others have a free slot, against limited servers that come first
+// because they have one, and against a probe that is put off.
+#[test]
+fn order_online_full_servers_last_in_their_tier() {
+    let (mut all, mut rng) = (servers(8), rng());
+    for at in [0, 1, 4, 5] {
+        all[at].is_full = true;
+    }
+    let marks = |order: &[Name], all: &[Candidate]| -> Vec<(bool, bool)> {
+        let of = |name: &Name| all.iter().find(|c| c.name == *name).expect("server");
+        order
+            .iter()
+            .map(of)
+            .map(|c| (c.is_limited, c.is_full))
+            .collect()
+    };
+    for prefix in [None, Some(PREFIX)] {
+        for _ in 0..50 {
+            let chosen = order(Class::Online, prefix, &all, 8, &mut rng);
+            assert!(marks(&chosen, &all).is_sorted());
+        }
+    }
+    for limited in &mut all[4..] {
+        limited.is_limited = true;
+    }
+    for _ in 0..50 {
+        let chosen = order(Class::Online, None, &all, 8, &mut rng);
+        let [free, full] = [false, true];
+        let tier = |limited| [free, free, full, full].map(|is_full| (limited, is_full));
+        assert_eq!(marks(&chosen, &all), [tier(false), tier(true)].concat());
+    }
+    all[0].availability = Availability::Probe;
+    let chosen = order(Class::Online, None, &all, 8, &mut rng);
+    assert_eq!(chosen[0], all[0].name);
+}
+
+// Guards against an order of batch work that depends on what is kept for online requests.
+#[test]
+fn order_batch_same_with_full_marks() {
+    let all = servers(8);
+    let mut marked = all.clone();
+    for server in &mut marked[..4] {
+        server.is_full = true;
+    }
+    let chosen = |all: &[Candidate]| order(Class::Batch, None, all, 8, &mut rng());
+    assert_eq!(chosen(&all), chosen(&marked));
+}
