Count only slots that online requests hold toward the headroom

A request that waits keeps places at three gates, and each counted it. Gates that grant the same server can together hold more requests than it has slots; they count as all slots now.

--- a/src/gate/headroom.rs
+++ b/src/gate/headroom.rs
@@ -6,7 +6,7 @@
 
 use super::{
     grant::{Inner, Queues},
-    slot::{SlotRequest, Verdict},
+    slot::{Counts, SlotRequest, Verdict},
 };
 use crate::{
     clock::Time,
@@ -63,8 +63,10 @@
 }
 
 impl Headroom {
-    /// Records that `online` requests hold or wait for a slot from `now` on.
-    pub fn note_online(&mut self, now: Time, online: u32) {
+    /// Records how many slots online requests hold from `now` on, by the `counts` of the server. Requests that wait
+    /// are not recorded, because each has places at several gates. More requests than slots, which other gates may have
+    /// granted, count as all slots.
+    pub fn note_online(&mut self, now: Time, counts: Counts) {
         let passed = now.saturating_sub(self.at.unwrap_or(now)).as_secs_f64();
         if passed > 0.0 {
             let memory = MEMORY.as_secs_f64();
@@ -78,7 +80,7 @@
             self.weights[self.online] += memory * (1.0 - kept);
         }
         self.at = Some(self.at.map_or(now, |at| at.max(now)));
-        self.online = online as usize;
+        self.online = counts.online.min(counts.slots) as usize;
     }
 
     /// Records that the item that `request` is for waited until `now` and got no slot.
@@ -161,8 +163,7 @@
             return;
         }
         let (now, counts) = (host.now(), self.queue.counts());
-        self.headroom
-            .note_online(now, counts.online + counts.waiting);
+        self.headroom.note_online(now, counts);
         self.headroom.kept = self.headroom.reserve(now, counts.slots, rule);
         self.queue.set_reserve(self.headroom.kept);
     }
--- a/tests/gate_headroom.rs
+++ b/tests/gate_headroom.rs
@@ -84,6 +84,37 @@
     assert!(learned.late <= off.late + off.results / 10, "{learned:?}");
 }
 
+fn counts(online: u32) -> Counts {
+    Counts {
+        online,
+        slots: SLOTS,
+        ..Counts::default()
+    }
+}
+
+// Guards against headroom for requests that wait at three gates for one slot, and for more requests than slots.
+#[test]
+fn note_online_waiting_and_excess_not_counted() {
+    let rule = Reserve {
+        percent: 97,
+        backlog: Duration::from_secs(6),
+    };
+    let reserve = |counts| {
+        let mut headroom = Headroom::default();
+        headroom.note_online(SETTLE, counts);
+        let now = SETTLE + Duration::from_secs(1);
+        headroom.note_online(now, counts);
+        headroom.reserve(now, 100, rule)
+    };
+    let waiting = Counts {
+        waiting: 5,
+        ..counts(2)
+    };
+    assert_eq!(reserve(waiting), 2);
+    assert_eq!(reserve(counts(SLOTS + 1)), SLOTS);
+    assert_eq!(reserve(counts(u32::MAX)), SLOTS);
+}
+
 #[test]
 fn reserve_online_learned_then_forgotten() {
     let rule = Reserve {
@@ -95,14 +126,14 @@
     let mut now = SETTLE;
     // Peaks and troughs: the peak is still known at the end of a trough.
     for (online, ms) in [(3, 2400), (1, 3400), (3, 2400), (1, 3400)] {
-        headroom.note_online(now, online);
+        headroom.note_online(now, counts(online));
         now += Duration::from_millis(ms);
     }
-    headroom.note_online(now, 1);
+    headroom.note_online(now, counts(1));
     assert_eq!(headroom.reserve(now, SLOTS, rule), 3);
     // One slot remains for batch work.
     assert_eq!(headroom.reserve(now, 2, rule), 1);
-    headroom.note_online(now + Duration::from_secs(40), 1);
+    headroom.note_online(now + Duration::from_secs(40), counts(1));
     assert_eq!(headroom.reserve(now, SLOTS, rule), 1);
 }
 
@@ -114,11 +145,11 @@
     };
     let item = |id: &str| request(&id.into(), Class::Batch, 7);
     let mut headroom = Headroom::default();
-    headroom.note_online(SETTLE, 4);
+    headroom.note_online(SETTLE, counts(4));
     let mut reserves = Vec::new();
     for second in 0..=12 {
         let now = SETTLE + Duration::from_secs(second);
-        headroom.note_online(now, 4);
+        headroom.note_online(now, counts(4));
         // Each time that the item returns to its job, its attempt id changes.
         headroom.note_denied(now, &item(&format!("j/0.3.1.{second}.2")));
         reserves.push(headroom.reserve(now, SLOTS, rule));
--- a/tests/gate_model/mod.rs
+++ b/tests/gate_model/mod.rs
@@ -142,7 +142,7 @@
         }
         let (queue, headroom) = &mut self.gates[gate];
         let counts = queue.counts();
-        headroom.note_online(self.now, counts.online + counts.waiting);
+        headroom.note_online(self.now, counts);
         queue.set_reserve(match self.policy {
             Policy::Fixed(reserve) => reserve,
             Policy::Learned(rule) => headroom.reserve(self.now, SLOTS, rule),
