--- a/src/gate/headroom.rs
+++ b/src/gate/headroom.rs
@@ -18,7 +18,7 @@
 
 /// Time after which an observation counts for 1/e of a new one: about two periods of peak and trough
 /// (5.8 s), so that the peak is still known at the end of a trough.
-const MEMORY: Duration = Duration::from_secs(12);
+const DECAY_TIME: Duration = Duration::from_secs(12);
 /// Time since an item was last denied a slot up to which it counts as waiting. Items that wait ask at least
 /// every half second.
 const WAITING: Duration = Duration::from_secs(1);
@@ -69,15 +69,15 @@
     pub fn note_online(&mut self, now: Time, counts: Counts) {
         let passed = now.saturating_sub(self.at.unwrap_or(now)).as_secs_f64();
         if passed > 0.0 {
-            let memory = MEMORY.as_secs_f64();
-            let kept = (-passed / memory).exp();
+            let decay = DECAY_TIME.as_secs_f64();
+            let kept = (-passed / decay).exp();
             for weight in &mut self.weights {
                 *weight *= kept;
             }
             if self.weights.len() <= self.online {
                 self.weights.resize(self.online + 1, 0.0);
             }
-            self.weights[self.online] += memory * (1.0 - kept);
+            self.weights[self.online] += decay * (1.0 - kept);
         }
         self.at = Some(self.at.map_or(now, |at| at.max(now)));
         self.online = counts.online.min(counts.slots) as usize;
--- a/src/route/refused.rs
+++ b/src/route/refused.rs
@@ -46,7 +46,7 @@
     /// All slots were granted: an attempt whose connection was closed may still run, or another host
     /// granted slots as well.
     Filled,
-    /// The gate had slots left, so that the reason is none of slots.
+    /// The gate had slots left. The reason is another one, such as memory, connections or a limit.
     Other,
 }
 
