--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -121,6 +121,11 @@
         self.pace.track(is_tracked, now);
     }
 
+    /// Whether the number of grants per second is limited.
+    pub fn is_throttled(&self) -> bool {
+        self.throttle.is_some()
+    }
+
     /// Time until the throttle lets the next waiting request pass; `None` if it holds none back.
     pub fn throttle_delay(&self, now: Time) -> Option<Duration> {
         let next = &self.waiting[self.next()?].request;
@@ -320,6 +325,11 @@
         }
     }
 
+    /// Whether batch work gets no slot because none is free for it, and not because the gate is new.
+    pub fn lacks_batch_slot(&self, now: Time) -> bool {
+        now >= self.started + SETTLE && !self.has_room(now, Class::Batch)
+    }
+
     fn active(&self) -> impl Iterator<Item = &Held> {
         self.held.iter().filter(|h| !h.ended)
     }
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -36,6 +36,8 @@
     pub is_limited: bool,
     /// What a request can expect of the server, if speeds are learned.
     pub expected: Option<Expected>,
+    /// Whether the server's recent counts leave no slot free; `false` if it has none.
+    pub is_full: bool,
     /// Whether the server may get work.
     pub availability: Availability,
 }
@@ -102,7 +104,8 @@
 
 /// Up to `most` servers to ask: one due for a probe, then the best first. Online requests with a
 /// `prefix` hash prefer the server that is likely to have the prompt's prefix cached; a hash of an
-/// empty prompt would send those requests of all hosts to the same server.
+/// empty prompt would send those requests of all hosts to the same server. Of the servers with a limit, and of those
+/// without, the full ones come last for them.
 pub fn order<R: Rng>(
     class: Class,
     prefix: Option<u64>,
@@ -127,7 +130,10 @@
                 is_free && c.has_room()
             });
             for tier in [roomy, rest] {
+                let before = chosen.len();
                 take_online(tier, prefix, &mut chosen, most, rng);
+                // A request at a full server would preempt batch work.
+                chosen[before..].sort_by_key(|c| c.is_full);
             }
         }
         Class::Batch => {
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -27,7 +27,7 @@
 pub use leaving::Departures;
 pub use limits::{Noted, ServerLimits};
 pub use passing::connect_suggests_restart;
-pub use refused::RefusalCause;
+pub use refused::{RefusalCause, RefusalLog, logged_fields, resend_pause};
 pub use speeds::Speeds;
 pub use state::Routes;
 pub use throttled::Throttled;
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -5,6 +5,7 @@
     health::{Availability, Health, Outcome},
     leaving::Departures,
     limits::ServerLimits,
+    refused::RefusalLog,
     speeds::Speeds,
     throttled::Throttled,
 };
@@ -44,6 +45,8 @@
     pub throttled: Throttled,
     /// Speeds of servers, if they are learned.
     pub speeds: Speeds,
+    /// Refusals that were logged.
+    pub refusals: RefusalLog,
     /// Number of requests and batch items on this host that wait in queues for a slot.
     pub waiting: AtomicUsize,
 }
@@ -83,6 +86,7 @@
             limits: ServerLimits::default(),
             throttled: Throttled::default(),
             speeds: Speeds::default(),
+            refusals: RefusalLog::default(),
             waiting: AtomicUsize::new(0),
         }
     }
@@ -145,16 +149,6 @@
         (is_fresh && is_busy).then_some(c)
     }
 
-    /// Whether the recent counts of `server` leave no slot free.
-    pub(super) fn is_full(&self, server: &Name, now: Time) -> bool {
-        let stats = self.lock();
-        let at = stats.binary_search_by(|s| s.server.cmp(server));
-        at.is_ok_and(|at| {
-            let (c, at) = (stats[at].counts, stats[at].counts_at);
-            at.is_some_and(|at| at + COUNTS_AGE > now) && c.online + c.batch >= c.slots
-        })
-    }
-
     /// When a server that can run `work` takes it at the earliest, by the limits that they state; now, unless
     /// each of them was lately found to be at its limit.
     pub fn earliest_slot(
@@ -261,7 +255,10 @@
             all.retain(|c| c.availability != Availability::Probe);
         }
         let prefix = (!work.prompt.is_empty()).then(|| prefix_hash(&work.prompt));
-        let mut chosen = order(
+        if work.class == Class::Online && host.settings.reserve.percent > 0 {
+            self.mark_full(&mut all, now);
+        }
+        let chosen = order(
             work.class,
             prefix,
             &all,
@@ -272,9 +269,6 @@
             let text = "every backend server with the model is ejected or leaving; retry later";
             return Err(Fail::new(Kind::Overloaded, text));
         }
-        if host.settings.reserve.percent > 0 {
-            self.prefer_free(work.class, &mut chosen, now);
-        }
         Ok(chosen)
     }
 
@@ -329,7 +323,7 @@
             .view(|state| state.servers.iter().any(is_usable))
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<ServerStats>> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Vec<ServerStats>> {
         self.stats.lock().expect("routing state")
     }
 }
@@ -383,6 +377,16 @@
     &mut stats[at]
 }
 
+/// Whether the recent counts of `server` leave no slot free.
+pub(super) fn is_full(stats: &[ServerStats], server: &Name, now: Time) -> bool {
+    let at = stats.binary_search_by(|s| s.server.cmp(server));
+    at.is_ok_and(|at| {
+        let (c, at) = (stats[at].counts, stats[at].counts_at);
+        let held = c.online.saturating_add(c.batch);
+        at.is_some_and(|at| at + COUNTS_AGE > now) && held >= c.slots
+    })
+}
+
 fn candidate(stats: &[ServerStats], server: &Server, is_near: bool, now: Time) -> Candidate {
     let slots = server.slots.max(1);
     let mut candidate = Candidate {
@@ -392,6 +396,7 @@
         spare: spare(slots, Counts::default()),
         is_limited: false,
         expected: None,
+        is_full: false,
         availability: Availability::Available,
     };
     let Ok(at) = stats.binary_search_by(|s| s.server.cmp(&server.name)) else {
--- a/standin/src/sample.rs
+++ b/standin/src/sample.rs
@@ -15,6 +15,7 @@
         spare: (i % 5) as i32,
         is_limited: false,
         expected: None,
+        is_full: false,
         availability: Availability::Available,
     }
 }
