--- a/examples/capacity/tokens.rs
+++ b/examples/capacity/tokens.rs
@@ -211,7 +211,7 @@
         bucket.report(&name, r.seq, r.used, r.back, now);
     }
     match bucket.lend(&name, ask.seq, (ask.need, ask.want), now) {
-        (0, _) => Lending::Empty(bucket.wait(&name, now)),
+        (0, _) => Lending::Empty(bucket.wait(now)),
         (count, valid) => Lending::Lent(count, valid),
     }
 }
--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -46,7 +46,7 @@
     /// Percentage of each rate that goes to the hosts' own parts.
     own_percent: u32,
     /// Whether used tokens are reported right away.
-    reports_used: bool,
+    report_used: bool,
     /// Sorted by workspace.
     accounts: RwLock<Vec<Arc<Account>>>,
     pub(super) lender: Mutex<Lender>,
@@ -76,12 +76,13 @@
     pub fn new(settings: &Settings) -> Self {
         let limits = Self {
             own_percent: settings.own,
-            reports_used: settings.reports_used,
+            report_used: settings.reports_used,
             ..Self::default()
         };
         let mut lender = limits.lender.lock().expect("lender");
         lender.proof = Proof::valid_for(settings.proof);
         lender.tolerance = settings.tolerance;
+        lender.report_used = settings.reports_used;
         drop(lender);
         limits
     }
@@ -126,7 +127,7 @@
     /// repeated: the next loan from the slot carries it, or the lender waits for the loan's end.
     /// Returns whether the settings say so.
     pub(super) fn settle(&self, host: &Arc<Host>) -> bool {
-        if !self.reports_used {
+        if !self.report_used {
             return false;
         }
         let accounts = self.accounts.read().expect("accounts").clone();
@@ -156,9 +157,10 @@
         match find(&accounts) {
             Ok(i) => accounts[i].clone(),
             Err(i) => {
+                let balance = Balance::starting(rand::random());
                 let account = Arc::new(Account {
                     workspace: workspace.clone(),
-                    balance: Mutex::new(Balance::starting(rand::random())),
+                    balance: Mutex::new(balance.with_report_used(self.report_used)),
                     own: Mutex::default(),
                     changed: Condvar::new(),
                     waiting: AtomicU32::new(0),
--- a/src/limit/borrow.rs
+++ b/src/limit/borrow.rs
@@ -105,6 +105,9 @@
     last_arrival: Time,
     /// Requests refused since the last token.
     refused: u32,
+    /// Whether used tokens are reported right away and empty slots are asked again early
+    /// (`[limits] report_used`).
+    report_used: bool,
 }
 
 impl Balance {
@@ -117,6 +120,12 @@
         }
     }
 
+    /// This balance with `[limits] report_used` on or off; it is off at first.
+    pub fn with_report_used(mut self, is_on: bool) -> Self {
+        self.report_used = is_on;
+        self
+    }
+
     /// Counts a new request towards the demand.
     pub fn arrive(&mut self, now: Time) {
         let span = now.saturating_sub(self.last_arrival).as_secs_f64();
@@ -180,7 +189,7 @@
             }
             Some(Lending::Empty(after)) => {
                 source.due = now + after;
-                let is_kept = after <= WAIT_LIMIT;
+                let is_kept = after <= WAIT_LIMIT || !self.report_used;
                 source.blocked = now + if is_kept { after } else { EMPTY_RETRY };
                 source.is_empty = true;
             }
@@ -232,7 +241,7 @@
         // A slot whose token is due keeps it for this host.
         let is_due = |s: &&u32| {
             let source = &self.sources[**s as usize];
-            source.is_empty && source.due <= now
+            self.report_used && source.is_empty && source.due <= now
         };
         let slots: Vec<u32> = (0..count)
             .map(|i| (self.next % count + i) % count)
--- a/src/limit/bucket.rs
+++ b/src/limit/bucket.rs
@@ -179,10 +179,25 @@
         self.loans.retain(|l| l.outstanding() > 0);
     }
 
+    /// Promises the next free whole token to a refused request; returns the time until it is there.
+    pub fn wait(&mut self, now: Time) -> Duration {
+        self.advance(now);
+        if self.share.rate == 0 || self.share.burst == 0 {
+            return WAIT_MAX;
+        }
+        let most = u128::from(self.share.rate) * WAIT_MAX.as_nanos();
+        self.promised = (self.promised + TOKEN_UNITS).min(most + self.level);
+        let span = self.time_for(self.promised.saturating_sub(self.level));
+        if self.level > 0 {
+            return span;
+        }
+        span.max(self.reserved.1.saturating_sub(now))
+    }
+
     /// Promises the next free token to a request at `host` and returns the time until it is there.
     /// Up to `TURN_MAX`, the token is kept for the host; a longer time is for a request that is
     /// refused, and follows those told to the refused requests before it.
-    pub fn wait(&mut self, host: &Name, now: Time) -> Duration {
+    pub fn reserve_next(&mut self, host: &Name, now: Time) -> Duration {
         self.advance(now);
         if self.share.rate == 0 || self.share.burst == 0 {
             return WAIT_MAX;
--- a/src/limit/lend.rs
+++ b/src/limit/lend.rs
@@ -93,6 +93,9 @@
     pub proof: Proof,
     /// Bounds the tokens with which a restarted holder starts.
     pub tolerance: Tolerance,
+    /// Whether an empty slot reserves its next token for the host that asked and bounds the times
+    /// told to refused requests (`[limits] report_used`).
+    pub report_used: bool,
 }
 
 impl Lender {
@@ -147,7 +150,8 @@
             return Lending::Lent(0, Duration::ZERO);
         }
         match bucket.lend(request.host, request.seq, (request.need, request.want), now) {
-            (0, _) => Lending::Empty(bucket.wait(request.host, now)),
+            (0, _) if self.report_used => Lending::Empty(bucket.reserve_next(request.host, now)),
+            (0, _) => Lending::Empty(bucket.wait(now)),
             (count, valid) => Lending::Lent(count, valid),
         }
     }
