--- a/src/limit/borrow.rs
+++ b/src/limit/borrow.rs
@@ -1,6 +1,6 @@
 //! The borrower's side: tokens of one workspace that a host has on loan.
 
-use super::{Lending, Report, WAIT_MAX, slots};
+use super::{BACKLOG_MAX, Lending, RESERVED_MAX, Report, WAIT_MAX, slots};
 use crate::{clock::Time, config::Workspace};
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 const AHEAD_MAX: f64 = 10_000.0;
 /// Delay before asking a slot again whose host did not hold it or did not answer.
 const RETRY: Duration = Duration::from_millis(100);
-/// Longest time for which a slot without tokens is not asked, unless it named an earlier time.
+/// Time for which a slot without tokens that reserved none is not asked, with `report_used`.
 /// Tokens of refused requests that do not return are lent to whoever asks.
 const EMPTY_RETRY: Duration = Duration::from_millis(100);
 /// Longest wait, from arrival, for a token that a lender said is due.
@@ -103,7 +103,8 @@
     /// Recent requests a second, as of `last_arrival`.
     demand: f64,
     last_arrival: Time,
-    /// Requests refused since the last token.
+    /// Requests refused since the last token or, with `report_used`, since a lender last told a
+    /// time.
     refused: u32,
     /// Whether used tokens are reported right away and empty slots are asked again early
     /// (`[limits] report_used`).
@@ -189,9 +190,13 @@
             }
             Some(Lending::Empty(after)) => {
                 source.due = now + after;
-                let is_kept = after <= WAIT_LIMIT || !self.report_used;
+                let is_kept = after <= RESERVED_MAX || !self.report_used;
                 source.blocked = now + if is_kept { after } else { EMPTY_RETRY };
                 source.is_empty = true;
+                if self.report_used {
+                    // The lender spaced this time already.
+                    self.refused = 0;
+                }
             }
             Some(Lending::NotHeld) | None => source.blocked = now + RETRY,
         }
@@ -296,10 +301,16 @@
     }
 
     /// Spaces the retry delays of refused requests at the rate, so that they do not all return for
-    /// the same token.
+    /// the same token. With `report_used` the lender spaces the times that it tells, and only
+    /// requests refused between two of its answers are spaced here.
     fn refuse(&mut self, rate: u32, now: Time) -> Step {
         let gap = Duration::from_secs(60) / rate.max(1);
-        let queue = (gap * self.refused).min(WAIT_MAX);
+        let most = if self.report_used {
+            BACKLOG_MAX
+        } else {
+            WAIT_MAX
+        };
+        let queue = (gap * self.refused).min(most);
         self.refused = (self.refused + 1).min(rate);
         let after = self.first_due().saturating_sub(now) + queue;
         Step::Refuse {
--- a/src/limit/bucket.rs
+++ b/src/limit/bucket.rs
@@ -4,23 +4,15 @@
 //! until it is reported as used or must have expired. So the tokens used in any window are at most
 //! the burst, in the bucket or on loan at its start, plus those that the rate added since.
 
-use super::{LOAN_MAX, LOAN_MIN, Share, WAIT_MAX};
+use super::{BACKLOG_MAX, LOAN_MAX, LOAN_MIN, RESERVED_MAX, Share, WAIT_MAX};
 use crate::{clock::Time, wire::Name};
 use std::time::Duration;
 
 /// Fixed-point units of one token: nanoseconds of a minute times millionths of a request.
 const TOKEN_UNITS: u128 = 60_000_000_000 * 1_000_000;
-/// Longest wait for which a token is kept for the host that was told it: a quarter of an objective
-/// of 300 ms, for which a request waits. One that is told more is refused, and its caller returns
-/// to another host, so a token kept for longer would be idle (at 250 ms, 0.992 of what one bucket
-/// admits instead of 0.996).
-const TURN_MAX: Duration = Duration::from_millis(75);
 /// Time for which a due token is kept for its host, which asks again over the network. Meanwhile
 /// the token is idle if the host does not need it any more.
 const TURN_KEEP: Duration = Duration::from_millis(20);
-/// Longest backlog of promises to refused requests. Later promises are mostly not taken up, and a
-/// longer backlog would outlast the overload.
-const BACKLOG_MAX: Duration = Duration::from_secs(2);
 
 /// Tokens on loan.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -195,7 +187,7 @@
     }
 
     /// Promises the next free token to a request at `host` and returns the time until it is there.
-    /// Up to `TURN_MAX`, the token is kept for the host; a longer time is for a request that is
+    /// Up to `RESERVED_MAX`, the token is kept for the host; a longer time is for a request that is
     /// refused, and follows those told to the refused requests before it.
     pub fn reserve_next(&mut self, host: &Name, now: Time) -> Duration {
         self.advance(now);
@@ -214,7 +206,7 @@
             _ => Duration::ZERO,
         };
         let span = self.time_for(owed.saturating_sub(self.level)).max(closed);
-        if span <= TURN_MAX {
+        if span <= RESERVED_MAX {
             self.turns.push(Turn {
                 host: host.clone(),
                 due: now + span,
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -42,5 +42,13 @@
 pub const CLAIM_WAIT: Duration = Duration::from_secs(5);
 /// Delay before a larger share is used after the declared rate changes.
 pub const GROW_WAIT: Duration = Duration::from_secs(4);
+/// With `[limits] report_used`, longest wait for which a token is kept for the host that was told
+/// it: a quarter of an objective of 300 ms, for which a request waits. One that is told more is
+/// refused, and its caller returns to another host, so a token kept for longer would be idle (at
+/// 250 ms, 0.992 of what one bucket admits instead of 0.996).
+pub const RESERVED_MAX: Duration = Duration::from_millis(75);
+/// With `[limits] report_used`, longest backlog of times told to refused requests. Later times are
+/// mostly not taken up, and a longer backlog would outlast the overload.
+pub const BACKLOG_MAX: Duration = Duration::from_secs(2);
 /// Longest delay for lack of tokens that a lender tells, and that a borrower adds to space retries.
 pub const WAIT_MAX: Duration = Duration::from_secs(20);
--- a/tests/limit_hot.rs
+++ b/tests/limit_hot.rs
@@ -6,7 +6,7 @@
 use fleet::{Fault, Fleet, Policy, SECOND, ideal, over};
 use gooseberrytack::{
     config::Workspace,
-    limit::{Bucket, Share},
+    limit::{Balance, Bucket, Lending, Share, Step},
 };
 use hot_fleet::{HotFleet, Tally};
 use std::time::Duration;
@@ -246,3 +246,31 @@
         waits[499]
     );
 }
+
+/// The host must not add its own refusals of a whole overload to a time that the lender has already
+/// spaced: a workspace of one request a second was told 20 s after 20 refusals.
+#[test]
+fn host_spaces_only_between_answers() {
+    let millis = Duration::from_millis;
+    let of = workspace(1, 3);
+    let told = |report_used: bool| {
+        let mut balance = Balance::default().with_report_used(report_used);
+        let mut told = Vec::new();
+        for n in 0..200 {
+            let now = millis(1_000 + 40 * n);
+            loop {
+                match balance.step(&of, 0, now, now) {
+                    Step::Ask(ask) => balance.answer(&ask, Some(Lending::Empty(millis(600))), now),
+                    Step::Refuse { after, sure: true } => break told.push(after),
+                    Step::Later(_) => break,
+                    step => panic!("neither asked nor refused: {step:?}"),
+                }
+            }
+        }
+        told
+    };
+    let (on, off) = (told(true), told(false));
+    assert!(on.iter().all(|t| *t <= millis(600 + 2_000)), "{on:?}");
+    assert_eq!(on.iter().filter(|t| **t == millis(600)).count(), 67);
+    assert!(off.iter().max() > Some(&millis(19_000)), "{off:?}");
+}
