--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -1,7 +1,7 @@
 //! Supplies requests with rate tokens: from the host's own part, from loans, or by borrowing.
 
 use super::{
-    Ask, Balance, Division, Lender, Lending, OwnPart, Place, Proof, Step, Token,
+    Ask, Balance, Division, Lender, Lending, OwnPart, Proof, SilentLenders, Step, Token,
     call::{Borrow, RecentClaim, lend_local},
     divide, place,
 };
@@ -11,7 +11,7 @@
     error::{Fail, Kind, Res},
     kernel::Host,
     settings::Settings,
-    wire::Name,
+    wire::{Name, Peer},
 };
 use std::{
     sync::{
@@ -23,6 +23,9 @@
 
 /// Time limit of a call to a lender.
 const ASK_LIMIT: Duration = Duration::from_millis(300);
+/// Time limit of a report of used tokens. Reports run one after another, so a lender that does not
+/// answer delays all others by this, once in a second (`SilentLenders`).
+const REPORT_LIMIT: Duration = Duration::from_millis(100);
 /// Longest wait of a request while some slot has no holder.
 const WAIT_LIMIT: Duration = Duration::from_millis(1500);
 /// Shortest retry delay when no lender can be reached. A host's own part yields a token about that
@@ -49,6 +52,7 @@
     report_used: bool,
     /// Sorted by workspace.
     accounts: RwLock<Vec<Arc<Account>>>,
+    silent: Mutex<SilentLenders>,
     pub(super) lender: Mutex<Lender>,
     pub(super) claims: Mutex<Vec<RecentClaim>>,
     pub(super) next_scan: Mutex<usize>,
@@ -76,13 +80,13 @@
     pub fn new(settings: &Settings) -> Self {
         let limits = Self {
             own_percent: settings.own,
-            report_used: settings.reports_used,
+            report_used: settings.report_used,
             ..Self::default()
         };
         let mut lender = limits.lender.lock().expect("lender");
         lender.proof = Proof::valid_for(settings.proof);
         lender.tolerance = settings.tolerance;
-        lender.report_used = settings.reports_used;
+        lender.report_used = settings.report_used;
         drop(lender);
         limits
     }
@@ -123,26 +127,49 @@
         self.lender.lock().expect("lender").count()
     }
 
-    /// Reports used tokens to their lenders, if the settings say so. A report that is lost is not
-    /// repeated: the next loan from the slot carries it, or the lender waits for the loan's end.
-    /// Returns whether the settings say so.
-    pub(super) fn settle(&self, host: &Arc<Host>) -> bool {
-        if !self.report_used {
-            return false;
-        }
+    /// Whether used tokens are reported right away.
+    pub(super) fn is_report_used(&self) -> bool {
+        self.report_used
+    }
+
+    /// Reports used tokens to their lenders. A report that is lost is not repeated: the next loan
+    /// from the slot carries it, or the lender waits for the loan's end. Lenders that are down or
+    /// did not answer lately are skipped, since each would delay the reports to all others.
+    pub(super) fn report_used(&self, host: &Arc<Host>) {
         let accounts = self.accounts.read().expect("accounts").clone();
         for account in accounts {
-            let asks = account.balance.lock().expect("balance").settle(host.now());
-            if asks.is_empty() {
+            let balance = account.balance.lock().expect("balance");
+            let slots = balance.unreported(host.now());
+            drop(balance);
+            if slots.is_empty() {
                 continue;
             }
-            if let Ok(workspace) = account.declared(host) {
-                asks.iter().for_each(|ask| {
-                    borrow(host, &workspace, ask);
-                });
+            let Ok(workspace) = account.declared(host) else {
+                continue;
+            };
+            for slot in slots {
+                self.report_slot(host, &account, &workspace, slot);
             }
         }
-        true
+    }
+
+    fn report_slot(&self, host: &Arc<Host>, account: &Account, workspace: &Workspace, slot: u32) {
+        let Some(peer) = lender_of(host, workspace, slot) else {
+            return;
+        };
+        let is_down = peer.name != host.me.name && host.members.is_down(&peer.name);
+        let mut silent = self.silent.lock().expect("silent lenders");
+        if is_down || silent.contains(&peer.name, host.now()) {
+            return;
+        }
+        drop(silent);
+        let mut balance = account.balance.lock().expect("balance");
+        let ask = balance.report_used(slot, host.now());
+        drop(balance);
+        if send(host, workspace, &ask, &peer, REPORT_LIMIT).is_none() {
+            let mut silent = self.silent.lock().expect("silent lenders");
+            silent.note(peer.name, host.now());
+        }
     }
 
     fn account(&self, workspace: &Name) -> Arc<Account> {
@@ -291,15 +318,28 @@
     }
 }
 
-/// Borrows from the host in charge of the slot; `None` if it did not answer.
-fn borrow(host: &Arc<Host>, workspace: &Workspace, ask: &Ask) -> Option<Lending> {
+/// Host in charge of the slot; `None` if there is none now.
+fn lender_of(host: &Host, workspace: &Workspace, slot: u32) -> Option<Peer> {
     let ring = host.members.ring();
     let places = host
         .homes
         .view(|h| place(&ring, workspace, h.slots(&workspace.name)));
-    let (Place::Held(peer) | Place::Vacant(peer)) = places.get(ask.slot as usize)? else {
-        return None;
-    };
+    places.get(slot as usize)?.peer().cloned()
+}
+
+/// Borrows from the host in charge of the slot; `None` if it did not answer.
+fn borrow(host: &Arc<Host>, workspace: &Workspace, ask: &Ask) -> Option<Lending> {
+    let peer = lender_of(host, workspace, ask.slot)?;
+    send(host, workspace, ask, &peer, ASK_LIMIT)
+}
+
+fn send(
+    host: &Arc<Host>,
+    workspace: &Workspace,
+    ask: &Ask,
+    peer: &Peer,
+    limit: Duration,
+) -> Option<Lending> {
     let call = Borrow {
         workspace: workspace.name.clone(),
         slot: ask.slot,
@@ -316,7 +356,7 @@
     if host.members.is_down(&peer.name) {
         return None;
     }
-    host.call(peer.addr, &call, ASK_LIMIT).ok()
+    host.call(peer.addr, &call, limit).ok()
 }
 
 /// Retry delay of a request for which no host can lend, on a host that has run for `up`. Where all
--- a/src/limit/borrow.rs
+++ b/src/limit/borrow.rs
@@ -73,10 +73,10 @@
     /// Tokens confirmed as used.
     used: u32,
     /// `used` as last reported.
-    settled: u32,
+    reported: u32,
     /// Tokens returned to the lender.
     back: u32,
-    /// Time from which `settle` returns the free tokens.
+    /// Time from which `report_used` returns the free tokens.
     idle: Time,
     until: Time,
 }
@@ -163,7 +163,7 @@
         self.refuse(rate, now)
     }
 
-    /// Applies the answer to `ask`; `None` if no answer came. Answers to an `ask` of `settle` are
+    /// Applies the answer to `ask`; `None` if no answer came. Answers to an `ask` of `report_used` are
     /// ignored.
     pub fn answer(&mut self, ask: &Ask, lending: Option<Lending>, now: Time) {
         if ask.want == 0 {
@@ -182,7 +182,7 @@
                     seq: ask.seq,
                     free: count,
                     used: 0,
-                    settled: 0,
+                    reported: 0,
                     back: 0,
                     idle: now + Duration::from_secs_f64(AHEAD_SECONDS),
                     until: ask.at + valid,
@@ -257,32 +257,35 @@
         Some(slot)
     }
 
-    /// Reports that the lenders do not have yet, one `Ask` for each slot, with nothing wanted. A
-    /// lender keeps the room of a token until it is reported as used; tokens that were borrowed
-    /// ahead and not needed in time are returned before they expire.
-    pub fn settle(&mut self, now: Time) -> Vec<Ask> {
-        let is_due = |l: &&Loan| l.used > l.settled || (l.free > 0 && l.idle.min(l.until) <= now);
-        let mut slots: Vec<u32> = self.loans.iter().filter(is_due).map(|l| l.slot).collect();
+    /// Slots with loans whose lender does not know all used or idle tokens.
+    pub fn unreported(&self, now: Time) -> Vec<u32> {
+        let changed = self.loans.iter().filter(|l| l.is_changed(now));
+        let mut slots: Vec<u32> = changed.map(|l| l.slot).collect();
         slots.sort_unstable();
         slots.dedup();
-        let asks = slots.into_iter().map(|slot| {
-            let loans = self.loans.iter_mut().filter(|l| l.slot == slot);
-            let reports = loans.map(|l| {
-                if l.idle <= now {
-                    l.give_back();
-                }
-                l.report(now)
-            });
-            Ask {
-                slot,
-                seq: 0,
-                need: 0,
-                want: 0,
-                reports: reports.collect(),
-                at: now,
+        slots
+    }
+
+    /// Reports to the lender of `slot` the loans that changed since their last report, with nothing
+    /// wanted. A lender keeps the room of a token until it is reported as used; tokens that were
+    /// borrowed ahead and not needed in time are returned before they expire.
+    pub fn report_used(&mut self, slot: u32, now: Time) -> Ask {
+        let loans = self.loans.iter_mut();
+        let changed = loans.filter(|l| l.slot == slot && l.is_changed(now));
+        let reports = changed.map(|l| {
+            if l.idle <= now {
+                l.give_back();
             }
+            l.report(now)
         });
-        asks.collect()
+        Ask {
+            slot,
+            seq: 0,
+            need: 0,
+            want: 0,
+            reports: reports.collect(),
+            at: now,
+        }
     }
 
     fn ask(&mut self, slot: u32, waiting: u32, now: Time) -> Ask {
@@ -321,12 +324,17 @@
 }
 
 impl Loan {
+    /// Whether tokens were used since the last report, or are to be returned.
+    fn is_changed(&self, now: Time) -> bool {
+        self.used > self.reported || (self.free > 0 && self.idle.min(self.until) <= now)
+    }
+
     /// Reports the used tokens and those returned, among them the untaken ones once they expired.
     fn report(&mut self, now: Time) -> Report {
         if now >= self.until {
             self.give_back();
         }
-        self.settled = self.used;
+        self.reported = self.used;
         Report {
             seq: self.seq,
             used: self.used,
--- a/src/limit/bucket.rs
+++ b/src/limit/bucket.rs
@@ -12,7 +12,7 @@
 const TOKEN_UNITS: u128 = 60_000_000_000 * 1_000_000;
 /// Time for which a due token is kept for its host, which asks again over the network. Meanwhile
 /// the token is idle if the host does not need it any more.
-const TURN_KEEP: Duration = Duration::from_millis(20);
+const RESERVATION_KEEP: Duration = Duration::from_millis(20);
 
 /// Tokens on loan.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -41,7 +41,7 @@
 
 /// The next token, promised to a host that found none.
 #[derive(Debug, Clone)]
-struct Turn {
+struct Reservation {
     host: Name,
     due: Time,
 }
@@ -58,7 +58,7 @@
     /// Room kept empty, in tokens, and until when.
     reserved: (u32, Time),
     /// Promises to hosts whose requests wait, in the order of their times.
-    turns: Vec<Turn>,
+    reservations: Vec<Reservation>,
     /// Units promised to refused requests whose retry delay is not over.
     promised: u128,
 }
@@ -104,7 +104,7 @@
                 },
                 open,
             ),
-            turns: Vec::new(),
+            reservations: Vec::new(),
             promised: 0,
         }
     }
@@ -143,7 +143,7 @@
             return (0, valid);
         }
         self.level -= u128::from(count) * TOKEN_UNITS;
-        self.turns.retain(|t| t.host != *host);
+        self.reservations.retain(|r| r.host != *host);
         self.loans.push(Loan {
             host: host.clone(),
             seq,
@@ -194,20 +194,23 @@
         if self.share.rate == 0 || self.share.burst == 0 {
             return WAIT_MAX;
         }
-        self.turns.retain(|t| t.due + TURN_KEEP > now);
-        let earlier = self.turns.iter().find(|t| t.host == *host && t.due > now);
-        if let Some(turn) = earlier {
-            return turn.due - now;
+        self.reservations.retain(|r| r.due + RESERVATION_KEEP > now);
+        let earlier = self
+            .reservations
+            .iter()
+            .find(|r| r.host == *host && r.due > now);
+        if let Some(reservation) = earlier {
+            return reservation.due - now;
         }
-        self.turns.retain(|t| t.host != *host);
-        let owed = (self.turns.len() as u128 + 1) * TOKEN_UNITS;
+        self.reservations.retain(|r| r.host != *host);
+        let owed = (self.reservations.len() as u128 + 1) * TOKEN_UNITS;
         let closed = match self.level {
             0 => self.reserved.1.saturating_sub(now),
             _ => Duration::ZERO,
         };
         let span = self.time_for(owed.saturating_sub(self.level)).max(closed);
         if span <= RESERVED_MAX {
-            self.turns.push(Turn {
+            self.reservations.push(Reservation {
                 host: host.clone(),
                 due: now + span,
             });
@@ -227,8 +230,9 @@
 
     /// Tokens that are due to other hosts than `host`.
     fn kept_from(&self, host: &Name, now: Time) -> u32 {
-        let due = |t: &&Turn| t.due <= now && now < t.due + TURN_KEEP && t.host != *host;
-        self.turns.iter().filter(due).count() as u32
+        let due =
+            |r: &&Reservation| r.due <= now && now < r.due + RESERVATION_KEEP && r.host != *host;
+        self.reservations.iter().filter(due).count() as u32
     }
 
     /// Whole tokens in the bucket, without those on loan.
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -12,6 +12,7 @@
 mod own;
 mod place;
 mod proof;
+mod silent;
 mod split;
 mod task;
 mod tolerance;
@@ -25,6 +26,7 @@
 pub use own::{Division, OwnPart, divide};
 pub use place::{Place, misplaced, place};
 pub use proof::Proof;
+pub use silent::SilentLenders;
 pub use split::{Share, share, slots};
 pub use tolerance::Tolerance;
 
--- a/src/limit/task.rs
+++ b/src/limit/task.rs
@@ -17,9 +17,7 @@
 const EVERY: Duration = Duration::from_millis(200);
 /// Interval of reports of used tokens. At 20 ms, a workspace of 100 requests a second has two tokens
 /// or so that are used and not reported.
-const SETTLE_EVERY: Duration = Duration::from_millis(20);
-/// Interval at which the task runs without effect where used tokens are not reported.
-const SETTLE_OFF: Duration = Duration::from_secs(1);
+const REPORT_EVERY: Duration = Duration::from_millis(20);
 /// Most workspaces scanned in one run of `claim_batch`.
 const BATCH: usize = 256;
 /// Longest wait for the log to accept the release of slots.
@@ -33,7 +31,7 @@
         ],
         tasks: &[
             Task { name: "slots", every: EVERY, run: claim_batch, waits: true, on: On::All },
-            Task { name: "settle", every: Duration::ZERO, run: settle, waits: true, on: On::All },
+            Task { name: "report-used", every: Duration::ZERO, run: report_used, waits: true, on: On::All },
             Task { name: "proof", every: EVERY, run: check_listed, waits: false, on: On::All },
         ],
         stop: release,
@@ -46,12 +44,14 @@
     })
 }
 
-/// Runs on a thread of its own, as a periodic task would wake hosts that do not report.
-fn settle(host: &Arc<Host>) {
-    host.sleep(match host.limits.settle(host) {
-        true => SETTLE_EVERY,
-        false => SETTLE_OFF,
-    });
+/// Runs on a thread of its own, as a periodic task would wake hosts that do not report. There the
+/// thread sleeps until the host ends.
+fn report_used(host: &Arc<Host>) {
+    if !host.limits.is_report_used() {
+        return host.sleep(Duration::MAX);
+    }
+    host.limits.report_used(host);
+    host.sleep(REPORT_EVERY);
 }
 
 /// Releases misplaced slots of the next workspaces, and claims those that this host should hold.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -72,7 +72,7 @@
     /// Percentage of each workspace's rate that the hosts may spend without a loan.
     pub own: u32,
     /// Whether used rate tokens are reported to their lender right away.
-    pub reports_used: bool,
+    pub report_used: bool,
     /// Age of the last proof of holding a rate slot at which its holder stops lending.
     pub proof: Duration,
     /// How far the requests of a window may exceed a rate; a new start begins with half of it.
@@ -140,7 +140,7 @@
             quiet: r.millis("limits", "quiet_ms", 100, 600_000, 5_000),
             retries: r.number("limits", "retries_percent", 0, 100, 10),
             own: r.number("limits", "own_percent", 0, 90, 0) as u32,
-            reports_used: r.number("limits", "report_used", 0, 1, 0) == 1,
+            report_used: r.number("limits", "report_used", 0, 1, 0) == 1,
             proof: r.millis("limits", "proof_ms", 1_000, 10_000, 3_000),
             tolerance: Tolerance {
                 window: r.seconds("limits", "rate_window_s", 0.0, 3600.0, 0.0),
--- a/tests/fleet/requests.rs
+++ b/tests/fleet/requests.rs
@@ -97,6 +97,14 @@
         }
     }
 
+    fn report_used(&mut self, i: usize, w: usize) {
+        let now = self.local(i);
+        for slot in self.balance(i, w).0.unreported(now) {
+            let ask = self.balance(i, w).0.report_used(slot, now);
+            self.send_ask(i, w, ask);
+        }
+    }
+
     pub(super) fn reaches(&self, a: usize, b: usize) -> bool {
         !self.active(|f| matches!(f, Fault::CutPeers(j) if *j == a || *j == b))
     }
@@ -163,13 +171,8 @@
         };
         let (balance, _) = self.balance(i, w);
         if balance.confirm(token, now) {
-            let asks = if self.report_used {
-                self.balance(i, w).0.settle(now)
-            } else {
-                Vec::new()
-            };
-            for ask in asks {
-                self.send_ask(i, w, ask);
+            if self.report_used {
+                self.report_used(i, w);
             }
             self.tallies[w].sent.push(self.now);
             return;
--- a/tests/hot_fleet/mod.rs
+++ b/tests/hot_fleet/mod.rs
@@ -18,7 +18,7 @@
 /// Time for which a request waits for another request's loan before it checks again.
 const RECHECK: Micros = 50_000;
 /// Longest retry delay that a client honours: a third of its remaining time.
-const PATIENCE: Micros = 1_600_000;
+const RETRY_DELAY_MAX: Micros = 1_600_000;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -70,7 +70,7 @@
     /// Longest time for which a request holds its token before it is sent.
     pub hold_max: Micros,
     /// Time after a use at which the host reports it; `None` if only its next loan does.
-    settle_after: Option<Micros>,
+    report_after: Option<Micros>,
     /// Longest time for which a request waits for a token that is due.
     pub wait_max: Micros,
     pub tally: Tally,
@@ -113,7 +113,7 @@
             rng,
             weights,
             hold_max: 20_000,
-            settle_after: None,
+            report_after: None,
             wait_max: 250_000,
             tally: Tally::default(),
             workspace,
@@ -150,7 +150,7 @@
 
     /// Turns `[limits] report_used` on at all hosts, which report used tokens `after` their use.
     pub fn report_used(&mut self, after: Micros) {
-        self.settle_after = Some(after);
+        self.report_after = Some(after);
         for balance in &mut self.balances {
             *balance = std::mem::take(balance).with_report_used(true);
         }
@@ -254,7 +254,7 @@
 
     fn refuse(&mut self, r: usize, after: Micros) {
         self.tally.refused += 1;
-        if self.requests[r].is_retry || after > PATIENCE {
+        if self.requests[r].is_retry || after > RETRY_DELAY_MAX {
             return;
         }
         let host = self.draw_host();
@@ -294,7 +294,7 @@
         let host = self.requests[r].host;
         let now = self.time();
         self.balances[host].answer(&ask, lending, now);
-        if self.settle_after.is_some() && matches!(lending, Some(Lending::Lent(..))) {
+        if self.report_after.is_some() && matches!(lending, Some(Lending::Lent(..))) {
             self.push(self.now + 260_000, Event::Report(host));
         }
         self.step(r);
@@ -317,7 +317,7 @@
         if self.balances[host].confirm(token, now) {
             self.tally.sent.push(self.now);
             self.tally.returned.1 += u64::from(self.requests[r].is_retry);
-            if let Some(delay) = self.settle_after {
+            if let Some(delay) = self.report_after {
                 self.push(self.now + delay, Event::Report(host));
             }
             return;
@@ -328,7 +328,8 @@
 
     fn report(&mut self, host: usize) {
         let now = self.time();
-        for ask in self.balances[host].settle(now) {
+        for slot in self.balances[host].unreported(now) {
+            let ask = self.balances[host].report_used(slot, now);
             self.tally.messages += 2;
             self.asks.push((host, ask, None));
             let at = self.now + self.latency();
--- a/tests/limit_hot.rs
+++ b/tests/limit_hot.rs
@@ -6,7 +6,7 @@
 use fleet::{Fault, Fleet, Policy, SECOND, ideal, over};
 use gooseberrytack::{
     config::Workspace,
-    limit::{Balance, Bucket, Lending, Share, Step},
+    limit::{Balance, Bucket, Lending, Share, SilentLenders, Step},
 };
 use hot_fleet::{HotFleet, Tally};
 use std::time::Duration;
@@ -16,7 +16,7 @@
 /// Longest wait of a request at its host: a quarter of an objective of 300 ms.
 const WAIT_MAX: u64 = 75_000;
 /// Time after which a host reports used tokens.
-const SETTLE: u64 = 20_000;
+const REPORT_AFTER: u64 = 20_000;
 
 fn workspace(rate: u32, burst: u32) -> Workspace {
     Workspace {
@@ -28,9 +28,9 @@
 }
 
 /// Usual load for 17.4 s, five times that for 6 s, and the usual load again.
-fn play(hosts: usize, (rate, burst): (u32, u32), seed: u64, settle: Option<u64>) -> Tally {
+fn play(hosts: usize, (rate, burst): (u32, u32), seed: u64, report_after: Option<u64>) -> Tally {
     let mut fleet = HotFleet::new(hosts, workspace(rate, burst), seed);
-    if let Some(after) = settle {
+    if let Some(after) = report_after {
         fleet.report_used(after);
     }
     fleet.wait_max = WAIT_MAX;
@@ -54,16 +54,16 @@
     returned: (u64, u64),
     over: f64,
     /// Most returns within 100 ms, and all.
-    crowd: (usize, usize),
+    returns_within_100ms: (usize, usize),
 }
 
-fn play_seeds(hosts: usize, (rate, burst): (u32, u32), settle: Option<u64>) -> Sum {
+fn play_seeds(hosts: usize, (rate, burst): (u32, u32), report_after: Option<u64>) -> Sum {
     let mut sum = Sum {
         over: f64::NEG_INFINITY,
         ..Sum::default()
     };
     for seed in 0..(300 / u64::from(rate)).clamp(5, 60) {
-        let mut tally = play(hosts, (rate, burst), seed, settle);
+        let mut tally = play(hosts, (rate, burst), seed, report_after);
         let end = hot_fleet::START + HOT;
         let usual: Vec<_> = tally.arrived.iter().copied().filter(|a| *a < end).collect();
         sum.admitted += tally.sent.len() as u64;
@@ -78,15 +78,20 @@
         tally.returns.sort_unstable();
         let returns = &tally.returns;
         let within = |at: &u64| returns.partition_point(|r| *r < at + SECOND / 10);
-        let crowd = returns
+        let returns_within_100ms = returns
             .iter()
             .enumerate()
             .map(|(i, at)| within(at) - i)
             .max();
-        sum.crowd.0 = sum.crowd.0.max(crowd.unwrap_or(0));
-        sum.crowd.1 += returns.len();
+        sum.returns_within_100ms.0 = sum
+            .returns_within_100ms
+            .0
+            .max(returns_within_100ms.unwrap_or(0));
+        sum.returns_within_100ms.1 += returns.len();
     }
-    println!("{hosts} hosts, {rate} a second, burst {burst}, settle {settle:?}: {sum:?}");
+    println!(
+        "{hosts} hosts, {rate} a second, burst {burst}, report after {report_after:?}: {sum:?}"
+    );
     sum
 }
 
@@ -96,7 +101,7 @@
 fn hot_admits_what_one_bucket_would() {
     for hosts in [87, 300] {
         for shape in [(100, 100), (10, 10), (2, 3)] {
-            let sum = play_seeds(hosts, shape, Some(SETTLE));
+            let sum = play_seeds(hosts, shape, Some(REPORT_AFTER));
             assert!(sum.over <= 0.0, "above the rate: {sum:?}");
             // Each host asks too rarely at 300 hosts to spread its loans evenly over four slots.
             let lost = if hosts == 87 { 200 } else { 100 };
@@ -119,7 +124,7 @@
 /// A report that frees the room of a token must not let a window exceed the rate when messages are
 /// lost or late, hosts pause, and holders are replaced.
 #[test]
-fn settled_never_over() {
+fn reports_never_over() {
     let faults = [
         Fault::Lossy(60),
         Fault::Slow(SECOND),
@@ -274,3 +279,43 @@
     assert_eq!(on.iter().filter(|t| **t == millis(600)).count(), 67);
     assert!(off.iter().max() > Some(&millis(19_000)), "{off:?}");
 }
+
+/// A report must not repeat loans that its lender knows: messages would grow with the number of
+/// loans, and each report would be as long as the last.
+#[test]
+fn report_has_only_changed_loans() {
+    let (now, of) = (Duration::from_secs(1), workspace(1, 3));
+    let mut balance = Balance::default().with_report_used(true);
+    let spend = |balance: &mut Balance| {
+        let Step::Ask(ask) = balance.step(&of, 0, now, now) else {
+            panic!("no token left to spend");
+        };
+        balance.answer(&ask, Some(Lending::Lent(1, Duration::from_secs(1))), now);
+        let Step::Spend(token) = balance.step(&of, 0, now, now) else {
+            panic!("a token was lent");
+        };
+        assert!(balance.confirm(token, now));
+        ask.seq
+    };
+    for _ in 0..3 {
+        let seq = spend(&mut balance);
+        let slots = balance.unreported(now);
+        assert_eq!(slots.len(), 1);
+        let report = balance.report_used(slots[0], now);
+        let seqs: Vec<u64> = report.reports.iter().map(|r| r.seq).collect();
+        assert_eq!((seqs, report.want), (vec![seq], 0));
+        assert!(balance.unreported(now).is_empty());
+    }
+}
+
+/// A lender that does not answer must delay the reports to the others at most once a second.
+#[test]
+fn silent_lender_skipped_for_a_second() {
+    let (silent, other) = ("silent".into(), "other".into());
+    let mut lenders = SilentLenders::default();
+    let at = Duration::from_secs(5);
+    lenders.note("silent".into(), at);
+    assert!(lenders.contains(&silent, at + Duration::from_millis(999)));
+    assert!(!lenders.contains(&other, at));
+    assert!(!lenders.contains(&silent, at + Duration::from_secs(1)));
+}
--- a/tests/settings_parse.rs
+++ b/tests/settings_parse.rs
@@ -101,7 +101,7 @@
 fn report_used_off_by_default() {
     let used = |line: &str| {
         let text = format!("{GOOD}[limits]\n{line}\n");
-        Settings::parse("f.ini", &text).map(|s| s.reports_used)
+        Settings::parse("f.ini", &text).map(|s| s.report_used)
     };
     assert_eq!(used("body_bytes = 4096").ok(), Some(false));
     assert_eq!(used("report_used = 1").ok(), Some(true));
