--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -145,6 +145,10 @@
     pub hold_max: Micros,
     /// `[limits] report_used` of all hosts.
     pub report_used: bool,
+    /// Percentage of reports of used tokens that are lost, and of those that arrive twice.
+    pub report_faults: u32,
+    /// Reports that were lost, and that were sent twice.
+    pub faulty_reports: (u64, u64),
     /// Messages between hosts.
     pub messages: u64,
     /// By workspace.
@@ -172,6 +176,8 @@
             starts: 0,
             hold_max: 0,
             report_used: false,
+            report_faults: 0,
+            faulty_reports: (0, 0),
             messages: 0,
         };
         fleet.lag = fleet.rng.random_range(0..SECOND);
--- a/tests/fleet/requests.rs
+++ b/tests/fleet/requests.rs
@@ -101,10 +101,23 @@
         let now = self.local(i);
         for slot in self.balance(i, w).0.unreported(now) {
             let ask = self.balance(i, w).0.report_used(slot, now);
+            let (lost, doubled) = (self.draw_report_fault(), self.draw_report_fault());
+            self.faulty_reports.0 += u64::from(lost);
+            self.faulty_reports.1 += u64::from(doubled && !lost);
+            if lost {
+                continue;
+            }
+            if doubled {
+                self.send_ask(i, w, ask.clone());
+            }
             self.send_ask(i, w, ask);
         }
     }
 
+    fn draw_report_fault(&mut self) -> bool {
+        self.report_faults > 0 && self.rng.random_range(0..100) < self.report_faults
+    }
+
     pub(super) fn reaches(&self, a: usize, b: usize) -> bool {
         !self.active(|f| matches!(f, Fault::CutPeers(j) if *j == a || *j == b))
     }
--- a/tests/limit_hot.rs
+++ b/tests/limit_hot.rs
@@ -112,17 +112,19 @@
     }
 }
 
-/// Without the setting, the bound holds as well.
+/// Without the setting, the bound holds as well, and no more is refused than before it was added.
 #[test]
 fn hot_without_reports_never_over() {
-    for shape in [(100, 100), (10, 10), (2, 3)] {
+    for (shape, percent) in [((100, 100), 93), ((10, 10), 90), ((2, 3), 82)] {
         let sum = play_seeds(87, shape, None);
+        assert!(sum.admitted * 100 >= sum.ideal * percent, "{sum:?}");
         assert!(sum.over <= 0.0, "above the rate: {sum:?}");
     }
 }
 
 /// A report that frees the room of a token must not let a window exceed the rate when messages are
-/// lost or late, hosts pause, and holders are replaced.
+/// lost or late, hosts pause, and holders are replaced, nor when the report itself is lost or
+/// arrives twice.
 #[test]
 fn reports_never_over() {
     let faults = [
@@ -142,6 +144,7 @@
         };
         let mut fleet = Fleet::new(Policy::Escrow, 6, vec![of], seed);
         fleet.report_used = true;
+        fleet.report_faults = 25;
         fleet.hold_max = if seed % 2 == 0 { 20_000 } else { 900_000 };
         for (n, fault) in faults.iter().enumerate() {
             let from = (8 + 2 * n as u64 + seed % 5) * SECOND;
@@ -156,6 +159,8 @@
         let mut sent = fleet.tallies[0].sent.clone();
         sent.sort_unstable();
         let over = over(&sent, rate, burst);
+        let (lost, doubled) = fleet.faulty_reports;
+        assert!(lost > 10 && doubled > 10, "{lost} lost, {doubled} doubled");
         assert!(
             !sent.is_empty() && over <= 0.0,
             "{over} above the rate, seed {seed}"
@@ -319,3 +324,22 @@
     assert!(!lenders.contains(&other, at));
     assert!(!lenders.contains(&silent, at + Duration::from_secs(1)));
 }
+
+/// A report that arrives twice must free the room of its tokens once, and return them once.
+#[test]
+fn doubled_report_counts_once() {
+    let (host, now) = ("host".into(), Duration::from_secs(1));
+    let share = Share {
+        rate: 600 * 1_000_000,
+        burst: 10,
+    };
+    let mut bucket = Bucket::new(share, 10, now, now);
+    bucket.lend(&host, 1, (6, 6), now);
+    for _ in 0..2 {
+        bucket.report(&host, 1, 1, 1, now);
+    }
+    assert_eq!(bucket.left(now), 5, "one token was returned");
+    bucket.report(&host, 1, 2, 1, now);
+    // Three of the six tokens are still on loan until their loan ends after 625 ms.
+    assert_eq!(bucket.left(now + Duration::from_millis(620)), 7);
+}
