--- a/tests/hot_fleet/mod.rs
+++ b/tests/hot_fleet/mod.rs
@@ -3,7 +3,10 @@
 
 use gooseberrytack::{
     config::Workspace,
-    limit::{Ask, Balance, Lender, Lending, LoanRequest, Slot, Step, Token, share, slots},
+    limit::{
+        Ask, Balance, Division, Lender, Lending, LoanRequest, OwnPart, Slot, Step, Token, divide,
+        share, slots,
+    },
     wire::Name,
 };
 use rand::{Rng, SeedableRng};
@@ -59,6 +62,8 @@
     balances: Vec<Balance>,
     names: Vec<Name>,
     lenders: Vec<Lender>,
+    parts: Division,
+    own_parts: Vec<OwnPart>,
     requests: Vec<Request>,
     asks: Vec<(usize, Ask, Option<Lending>)>,
     queue: BinaryHeap<Reverse<(Micros, u64, Event)>>,
@@ -77,7 +82,8 @@
 }
 
 impl HotFleet {
-    pub fn new(hosts: usize, workspace: Workspace, seed: u64) -> Self {
+    /// `own_percent` is the setting of that name in `[limits]`.
+    pub fn new(hosts: usize, workspace: Workspace, own_percent: u32, seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut sum = 0.0;
         // Clients reach hosts by a hash: with few clients a host gets up to several times the mean.
@@ -92,10 +98,11 @@
             left: u32::MAX,
             ..Slot::default()
         };
+        let parts = divide(&workspace, hosts, own_percent);
         let lender = |number| {
             let mut lender = Lender::default();
             lender.proof.note_log_read(Duration::ZERO);
-            let share = share(&workspace, number);
+            let share = share(&parts.lent, number);
             lender.sync(&workspace.name, number, &slot, true, share, Duration::ZERO);
             lender
         };
@@ -105,6 +112,8 @@
                 .collect(),
             names: (0..hosts).map(|h| format!("host-{h}").into()).collect(),
             lenders: (0..slots(workspace.burst)).map(lender).collect(),
+            own_parts: vec![OwnPart::default(); hosts],
+            parts,
             requests: Vec::new(),
             asks: Vec::new(),
             queue: BinaryHeap::new(),
@@ -220,6 +229,13 @@
     fn step(&mut self, r: usize) {
         let (host, since) = (self.requests[r].host, self.requests[r].since);
         let now = self.time();
+        if self.parts.own > 0 && self.own_parts[host].take(self.parts.own, now) {
+            let seq = u64::MAX;
+            let until = Duration::MAX;
+            self.requests[r].token = Some(Token { seq, until });
+            let hold = self.rng.random_range(0..=self.hold_max);
+            return self.push(self.now + hold, Event::Confirm(r));
+        }
         let others = self.requests.iter().rev().take(2000);
         let waiting = others.filter(|q| q.is_waiting && q.host == host).count() as u32;
         let since_time = Duration::from_micros(since);
--- a/tests/limit_hot.rs
+++ b/tests/limit_hot.rs
@@ -28,8 +28,14 @@
 }
 
 /// Usual load for 17.4 s, five times that for 6 s, and the usual load again.
-fn play(hosts: usize, (rate, burst): (u32, u32), seed: u64, report_after: Option<u64>) -> Tally {
-    let mut fleet = HotFleet::new(hosts, workspace(rate, burst), seed);
+fn play(
+    hosts: usize,
+    (rate, burst): (u32, u32),
+    own_percent: u32,
+    seed: u64,
+    report_after: Option<u64>,
+) -> Tally {
+    let mut fleet = HotFleet::new(hosts, workspace(rate, burst), own_percent, seed);
     if let Some(after) = report_after {
         fleet.report_used(after);
     }
@@ -57,13 +63,23 @@
     returns_within_100ms: (usize, usize),
 }
 
-fn play_seeds(hosts: usize, (rate, burst): (u32, u32), report_after: Option<u64>) -> Sum {
+fn play_seeds(hosts: usize, shape: (u32, u32), report_after: Option<u64>) -> Sum {
+    play_own(hosts, shape, 0, report_after)
+}
+
+/// Like `play_seeds`, with own parts of the hosts.
+fn play_own(
+    hosts: usize,
+    (rate, burst): (u32, u32),
+    own_percent: u32,
+    report_after: Option<u64>,
+) -> Sum {
     let mut sum = Sum {
         over: f64::NEG_INFINITY,
         ..Sum::default()
     };
     for seed in 0..(300 / u64::from(rate)).clamp(5, 60) {
-        let mut tally = play(hosts, (rate, burst), seed, report_after);
+        let mut tally = play(hosts, (rate, burst), own_percent, seed, report_after);
         let end = hot_fleet::START + HOT;
         let usual: Vec<_> = tally.arrived.iter().copied().filter(|a| *a < end).collect();
         sum.admitted += tally.sent.len() as u64;
@@ -90,7 +106,7 @@
         sum.returns_within_100ms.1 += returns.len();
     }
     println!(
-        "{hosts} hosts, {rate} a second, burst {burst}, report after {report_after:?}: {sum:?}"
+        "{hosts} hosts, {rate} a second, burst {burst}, own {own_percent}, report after {report_after:?}: {sum:?}"
     );
     sum
 }
@@ -343,3 +359,17 @@
     // Three of the six tokens are still on loan until their loan ends after 625 ms.
     assert_eq!(bucket.left(now + Duration::from_millis(620)), 7);
 }
+
+/// A burst of at least two for each host gives hosts own parts; those of hosts without callers must
+/// not add to its rate, nor cost it more than docs/design/rates.md states.
+#[test]
+fn own_parts_never_over() {
+    let on = Some(REPORT_AFTER);
+    for (report_after, own_percent, permille) in
+        [(None, 0, 940), (None, 40, 785), (on, 0, 995), (on, 40, 885)]
+    {
+        let sum = play_own(87, (192, 192), own_percent, report_after);
+        assert!(sum.over <= 0.0, "above the rate: {sum:?}");
+        assert!(sum.admitted * 1000 >= sum.ideal * permille, "{sum:?}");
+    }
+}
