--- a/tests/hot_fleet/mod.rs
+++ b/tests/hot_fleet/mod.rs
@@ -26,7 +26,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize, bool),
-    /// A request steps, if it still waits in this turn.
+    /// A request steps, if its wait of this number goes on.
     Step(usize, u32),
     Asked(usize),
     Answered(usize),
@@ -39,7 +39,7 @@
     host: usize,
     since: Micros,
     is_retry: bool,
-    turn: u32,
+    wait_number: u32,
     is_waiting: bool,
     token: Option<Token>,
 }
@@ -204,7 +204,7 @@
                     host,
                     since: self.now,
                     is_retry,
-                    turn: 0,
+                    wait_number: 0,
                     is_waiting: false,
                     token: None,
                 });
@@ -212,9 +212,9 @@
                 self.balances[host].arrive(now);
                 self.step(self.requests.len() - 1);
             }
-            Event::Step(r, turn) => {
+            Event::Step(r, wait_number) => {
                 let request = &mut self.requests[r];
-                if request.is_waiting && request.turn == turn {
+                if request.is_waiting && request.wait_number == wait_number {
                     request.is_waiting = false;
                     self.step(r);
                 }
@@ -262,10 +262,10 @@
 
     fn wait(&mut self, r: usize, span: Micros) {
         let request = &mut self.requests[r];
-        request.turn += 1;
+        request.wait_number += 1;
         request.is_waiting = true;
-        let turn = request.turn;
-        self.push(self.now + span, Event::Step(r, turn));
+        let wait_number = request.wait_number;
+        self.push(self.now + span, Event::Step(r, wait_number));
     }
 
     fn refuse(&mut self, r: usize, after: Micros) {
@@ -320,8 +320,8 @@
             q.is_waiting && q.host == host
         });
         for q in woken.collect::<Vec<_>>() {
-            let turn = self.requests[q].turn;
-            self.push(self.now, Event::Step(q, turn));
+            let wait_number = self.requests[q].wait_number;
+            self.push(self.now, Event::Step(q, wait_number));
         }
     }
 
