--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -123,7 +123,7 @@
 
     /// Whether the number of grants per second is limited.
     pub fn is_throttled(&self) -> bool {
-        self.throttle.is_some()
+        self.pace.is_limited()
     }
 
     /// Time until the throttle lets the next waiting request pass; `None` if it holds none back.
--- a/tests/route_expected.rs
+++ b/tests/route_expected.rs
@@ -144,6 +144,7 @@
                 load: c.online as f32 / SLOTS as f32,
                 spare: SLOTS as i32 - (c.online + c.batch) as i32,
                 is_limited: false,
+                is_full: false,
                 expected: speed.map(|(s, age)| expected(s, *age, load, true, ONLINE_EVENTS as f32)),
                 availability: Availability::Available,
             }
@@ -341,6 +342,7 @@
         load,
         spare: 8,
         is_limited: false,
+        is_full: false,
         expected: Some(expected),
         availability: Availability::Available,
     }
