End trials and stale limits by time alone

A trial ended only with the next sample. If batch work stalled or ended unobserved, the gate held it below the limit until then.

Test: learned_trial_ends_without_samples.

--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -317,6 +317,7 @@
         for gate in all {
             let mut inner = gate.lock();
             inner.queue.expire(host.now());
+            inner.apply_learned(host);
             let effects = inner.queue.serve(host.now());
             inner.note_running(host);
             self.apply(&gate, &inner, effects);
--- a/src/gate/learned.rs
+++ b/src/gate/learned.rs
@@ -145,6 +145,15 @@
         }
     }
 
+    /// Returns the limit to the slots if no sample arrived for [`FORGET`]: samples come only from attempts
+    /// that hosts observe, and a limit that nothing confirms must not hold slots back.
+    pub fn expire(&mut self, now: Time) {
+        if self.applied != self.slots && now.saturating_sub(self.sampled_at) >= FORGET {
+            (self.limit, self.applied) = (f64::from(self.slots), self.slots);
+            self.changed_at = now;
+        }
+    }
+
     /// Least limit of a server with `slots` slots.
     pub fn floor(slots: u32) -> u32 {
         (slots / 4).max(2).min(slots.max(1))
@@ -155,9 +164,13 @@
         self.applied
     }
 
-    /// Requests up to which batch work is granted: the limit, or less during a trial.
-    pub fn batch_limit(&self) -> u32 {
-        let dip = if self.trials.is_on() { self.dip() } else { 0 };
+    /// Requests up to which batch work is granted at `now`: the limit, or less during a trial.
+    pub fn batch_limit(&self, now: Time) -> u32 {
+        let dip = if self.trials.is_on(now) {
+            self.dip()
+        } else {
+            0
+        };
         self.applied
             .saturating_sub(dip)
             .max(Self::floor(self.slots))
--- a/src/gate/observe.rs
+++ b/src/gate/observe.rs
@@ -177,7 +177,16 @@
     pub(super) fn follow_learned(&mut self, host: &Host, server: &Server) {
         if host.settings.learn {
             self.learned.resize(server.slots, host.now());
-            let (batch, all) = (self.learned.batch_limit(), self.learned.limit());
+            self.apply_learned(host);
+        }
+    }
+
+    /// Sets the limits of the queue to those in force now, which change with time alone, too.
+    pub(super) fn apply_learned(&mut self, host: &Host) {
+        if host.settings.learn {
+            let now = host.now();
+            self.learned.expire(now);
+            let (batch, all) = (self.learned.batch_limit(now), self.learned.limit());
             self.queue.set_limits(batch, all);
         }
     }
--- a/src/gate/trial.rs
+++ b/src/gate/trial.rs
@@ -48,9 +48,9 @@
         }
     }
 
-    /// Whether a trial is under way.
-    pub(super) fn is_on(&self) -> bool {
-        self.until.is_some()
+    /// Whether a trial is under way at `now`. Its time also ends when no sample arrives.
+    pub(super) fn is_on(&self, now: Time) -> bool {
+        self.until.is_some_and(|until| now < until)
     }
 
     /// Begins and ends trials of the level `lower` at a sample at the level `at`; returns the medians in
@@ -65,7 +65,7 @@
     ) -> Option<(Point, Point)> {
         self.samples += u32::from(at <= lower);
         let point = gap.map(|gap| (at, gap));
-        match self.is_on() {
+        match self.until.is_some() {
             true => self.during.extend(point.filter(|_| at <= lower)),
             false => self.before.extend(point),
         }
@@ -79,7 +79,7 @@
             None => is_enough && now >= self.next,
         };
         if !is_over {
-            if !self.is_on() && now >= self.next {
+            if self.until.is_none() && now >= self.next {
                 self.until = Some(now + LENGTH_MAX);
             }
             return None;
--- a/tests/gate_learned.rs
+++ b/tests/gate_learned.rs
@@ -103,7 +103,7 @@
             self.arrivals -= 1.0;
             self.start(ONLINE_EVENTS);
         }
-        while (self.running.len() as u32) < self.learned.batch_limit() {
+        while (self.running.len() as u32) < self.learned.batch_limit(self.now) {
             self.start(BATCH_EVENTS);
         }
         let count = self.running.len() as u32;
@@ -359,3 +359,32 @@
         assert_eq!(learned.limit(), 4);
     }
 }
+
+/// Fails if a trial ends only with a sample: batch work that stalls or ends unobserved would be held below
+/// the limit for good. A limit without samples must not stay either.
+#[test]
+fn learned_trial_ends_without_samples() {
+    let mut model = Model::new(EVEN);
+    let is_trial = |model: &Model| {
+        let limit = model.learned.limit();
+        model.learned.batch_limit(model.now) < limit
+    };
+    for _ in 0..100_000 {
+        if is_trial(&model) {
+            break;
+        }
+        model.tick();
+    }
+    assert!(is_trial(&model), "no trial began");
+    let (limit, now) = (model.learned.limit(), model.now);
+    let after = |seconds| now + Duration::from_secs(seconds);
+    assert_eq!(model.learned.batch_limit(after(10)), limit);
+    assert_eq!(model.learned.limit(), limit);
+    let mut steep = Model::new(STEEP);
+    steep.run(60.0);
+    let limit = steep.learned.limit();
+    steep.learned.expire(steep.now + Duration::from_secs(115));
+    assert_eq!(steep.learned.limit(), limit);
+    steep.learned.expire(steep.now + Duration::from_secs(125));
+    assert_eq!(steep.learned.limit(), SLOTS);
+}
--- a/tests/route_expected.rs
+++ b/tests/route_expected.rs
@@ -165,7 +165,9 @@
             let c = server.counts();
             let has_room = match class {
                 Class::Online => c.online < SLOTS,
-                Class::Batch => c.online + c.batch < limit.min(server.learned.batch_limit()),
+                Class::Batch => {
+                    c.online + c.batch < limit.min(server.learned.batch_limit(self.now))
+                }
             };
             if has_room {
                 let (events, count) = match class {
