Do no work for speeds on the request path unless they are learned

The load field of each answer was parsed, and the clock read for each event, also with the setting off. An attempt has a pace only if the host learns, and the field is parsed by a function that is called only then.

--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -10,6 +10,8 @@
     engine::{End, EngineClient, Generate, Piece},
     error::{Fail, Kind, Res},
     gate::{Slot, cancel_at},
+    kernel::Host,
+    pass::LoadStatement,
     timeline::Happening,
     wire::{Answer, Class, Name},
 };
@@ -33,7 +35,29 @@
     pub(super) software: Name,
     pub(super) began: Time,
     pub(super) first: Option<Time>,
-    pub(super) pace: Pace,
+    /// Times of its events, if speeds are learned.
+    pub(super) pace: Option<Pace>,
+}
+
+impl Attempt {
+    /// Records the time of an event; reads no clock unless speeds are learned.
+    pub(super) fn note_event(&mut self, host: &Host) {
+        if let Some(pace) = &mut self.pace {
+            pace.note(host.now());
+        }
+    }
+
+    /// Records the load that the head of the answer reports; calls `read` only if speeds are learned.
+    pub(super) fn note_load(
+        &mut self,
+        host: &Host,
+        slot: &Slot,
+        read: impl FnOnce() -> LoadStatement,
+    ) {
+        if let Some(pace) = &mut self.pace {
+            pace.load = host.load_report(slot, read());
+        }
+    }
 }
 
 impl<S: Sink> Run<'_, S> {
@@ -72,7 +96,7 @@
             software: server.software.clone(),
             began: host.now(),
             first: None,
-            pace: Pace::default(),
+            pace: host.settings.learn.then(Pace::default),
         };
         host.routes
             .begin(attempt.began, &slot.server, self.work.class);
@@ -85,7 +109,7 @@
             None => self.stream(&slot, &mut attempt),
         };
         slot.used = self.pos - from;
-        if host.settings.learn {
+        if attempt.pace.is_some() {
             self.note_observed(&slot, &attempt, result.is_ok());
         }
         let outcome = outcome(&attempt, &result);
@@ -103,7 +127,8 @@
         if is_whole && self.work.class == Class::Online {
             host.routes.speeds.note_events(slot.used);
         }
-        if let Some(observed) = attempt.pace.observed(attempt.began) {
+        let pace = attempt.pace.as_ref();
+        if let Some(observed) = pace.and_then(|pace| pace.observed(attempt.began)) {
             host.gates.held.observe(&slot.server, observed);
         }
     }
@@ -127,7 +152,7 @@
                 host.timeline
                     .note(Happening::FirstToken, &slot.id, None, &slot.server);
             }
-            attempt.pace.note(host.now());
+            attempt.note_event(host);
             self.deliver(&piece, slot, attempt)?;
         }
     }
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -130,7 +130,7 @@
             host.note_limit(&slot.server, attempt.start, &limit, &slot.id);
         }
         if verdict == Verdict::Ours {
-            attempt.pace.load = host.load_report(slot, (dialect.load)(&head));
+            attempt.note_load(host, slot, || (dialect.load)(&head));
         }
         match verdict {
             Verdict::Ours => {}
@@ -197,7 +197,7 @@
                     self.host.note_answered(&self.segments, &slot.id);
                 }
                 has_event = true;
-                attempt.pace.note(self.host.now());
+                attempt.note_event(self.host);
                 if !empty.is_empty() {
                     empty.append(&mut event.raw);
                     event.raw = std::mem::take(&mut empty);
--- a/src/route/speeds.rs
+++ b/src/route/speeds.rs
@@ -146,16 +146,13 @@
 }
 
 impl Host {
-    /// The load that the answer to the attempt of `slot` reports, and when; `None` if speeds are not learned.
+    /// The load that the answer to the attempt of `slot` reports, and when; for hosts that learn speeds.
     /// An invalid report is logged once in a while.
     pub(super) fn load_report(
         &self,
         slot: &Slot,
         statement: LoadStatement,
     ) -> Option<(LoadReport, Time)> {
-        if !self.settings.learn {
-            return None;
-        }
         match statement {
             LoadStatement::Absent => None,
             LoadStatement::Report(report) => {
