Take only unknown paths for earlier builds

After any error answer, a host sent no observations for 60 s, so that one failure of a gate stopped learning for a minute. Only the answer to an unknown path (404, with or without a decodable error) counts; after another error the release is sent once in the known message.

Test: send_observed_after_other_failure_releases_once.

--- a/src/gate/observe.rs
+++ b/src/gate/observe.rs
@@ -129,12 +129,14 @@
                     self.mark_down(&peer.name, host.now());
                     ObservedReply::default()
                 }
-                // An earlier build; the release has to reach it in the message that it knows.
-                Err(_) => {
-                    let until = host.now() + UNKNOWN_TIME;
-                    let mut observations = self.observations.lock().expect("observations");
-                    observations.unknown.push((peer.name.clone(), until));
-                    drop(observations);
+                // The release has to reach the host in the message that every build knows.
+                Err(fail) => {
+                    // Builds answer an unknown path with 404; without a decodable error that is `BadRequest`.
+                    if matches!(fail.kind, Kind::NotFound | Kind::BadRequest) {
+                        let until = host.now() + UNKNOWN_TIME;
+                        let mut observations = self.observations.lock().expect("observations");
+                        observations.unknown.push((peer.name.clone(), until));
+                    }
                     self.release_only(host, peer, call.slots)
                 }
             }
--- a/tests/gate_observe.rs
+++ b/tests/gate_observe.rs
@@ -1,6 +1,7 @@
 //! What holders of slots tell the gates, and speeds that gates pass back, on whole hosts.
 
 use gooseberrytack::{
+    error::{Fail, Kind},
     gate::{CountsReply, Observed, Release, ReleaseObserved, ReleasedSlot, Sample, gate_key},
     kernel::{Call, Host},
     pass::LoadReport,
@@ -130,9 +131,8 @@
     assert_eq!(again, call);
 }
 
-/// Answers requests as an earlier build does that knows the release but not the observations; collects their
-/// paths.
-fn earlier_build() -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+/// Answers releases as every build does, and other requests with `status` and `refusal`; collects the paths.
+fn peer_refusing(status: u16, refusal: Vec<u8>) -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let addr = listener.local_addr().expect("its address");
     let paths: Arc<Mutex<Vec<String>>> = Arc::default();
@@ -149,7 +149,7 @@
                     200,
                     rmp_serde::to_vec(&CountsReply::default()).expect("a body"),
                 ),
-                false => (404, Vec::new()),
+                false => (status, refusal.clone()),
             };
             seen.lock().expect("paths").push(path);
             let length = body.len();
@@ -165,13 +165,34 @@
 /// A host that runs an earlier build must get every release, and not the unknown message again and again.
 #[test]
 fn send_observed_to_earlier_build_falls_back_to_release() {
+    let known = encoded(Kind::NotFound);
+    for refusal in [Vec::new(), known] {
+        let seen = paths_of_two_releases(404, refusal);
+        assert_eq!(seen, [ReleaseObserved::PATH, Release::PATH, Release::PATH]);
+    }
+}
+
+/// Fails if any error counts as an earlier build: one overload would stop observations for a minute.
+#[test]
+fn send_observed_after_other_failure_releases_once() {
+    let seen = paths_of_two_releases(500, encoded(Kind::Internal));
+    let once = [ReleaseObserved::PATH, Release::PATH];
+    assert_eq!(seen, [once, once].concat());
+}
+
+fn encoded(kind: Kind) -> Vec<u8> {
+    rmp_serde::to_vec(&Fail::new(kind, "refused")).expect("an error")
+}
+
+/// Paths of the messages of two releases with observations, the first of which is refused.
+fn paths_of_two_releases(status: u16, refusal: Vec<u8>) -> Vec<String> {
     let harness = harness(|s| s.learn = true);
     let host = harness.host(0);
     let owner = |name: &Name| host.members.owner(&gate_key(name));
     let names: Vec<Name> = (0..100).map(|i| format!("x{i}").into()).collect();
     let is_other = |name: &&Name| owner(name).is_some_and(|o| o.name != host.me.name);
     let server = names.iter().find(is_other).expect("a gate elsewhere");
-    let (addr, paths) = earlier_build();
+    let (addr, paths) = peer_refusing(status, refusal);
     let peer = Peer {
         addr,
         ..owner(server).expect("a gate")
@@ -192,6 +213,5 @@
         };
         host.gates.held.send_observed(host, &peer, vec![slot]);
     }
-    let seen = paths.lock().expect("paths").clone();
-    assert_eq!(seen, [ReleaseObserved::PATH, Release::PATH, Release::PATH]);
+    paths.lock().expect("paths").clone()
 }
