Tell speeds of owned gates only, with their age

A gate told the speeds of all its servers as new ones, also after its host had lost it or no sample had arrived for long, so that hosts preferred them to newer ones. The answer now holds the speeds of servers of the message whose gates the host owns, as of the last sample, with the time since.

--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -58,7 +58,7 @@
     /// Calls on this host that wait for a slot.
     waiters: Vec<Waiter>,
     /// Since when this host has been in charge of the gate.
-    owned_since: Option<Time>,
+    pub(super) owned_since: Option<Time>,
     /// Whether the limit that the server stated is still in force.
     confirmation: Confirmation,
     /// Its speed and concurrency limit, if the host learns them.
--- a/src/gate/learned.rs
+++ b/src/gate/learned.rs
@@ -257,6 +257,12 @@
         })
     }
 
+    /// Speed as of the last sample, and the time since.
+    pub fn estimate(&self, now: Time) -> Option<(Speed, Duration)> {
+        let speed = self.speed(self.sampled_at)?;
+        Some((speed, now.saturating_sub(self.sampled_at)))
+    }
+
     /// Percentage of the expected time by a fresh load report and its age in milliseconds. It is relative
     /// to the reports under which the speed was learned, so that nothing counts twice.
     fn hint(&self, now: Time) -> Option<(u32, u32)> {
--- a/src/gate/observe.rs
+++ b/src/gate/observe.rs
@@ -217,10 +217,10 @@
         let counts = self.release(host, slots, true);
         let now = host.now();
         let mut speeds: Vec<ToldSpeed> = Vec::new();
-        for (server, speed) in self.speeds(now) {
-            if slots.iter().any(|s| s.server == server) {
-                let age = Duration::ZERO;
-                speeds.push(ToldSpeed { server, speed, age });
+        let servers = slots.iter().map(|s| &s.server);
+        for server in servers.chain(samples.iter().map(|(name, _)| name)) {
+            if speeds.iter().all(|told| told.server != *server) {
+                speeds.extend(self.owned_speed(now, server));
             }
         }
         // What this host itself learned from others may still be news to the caller.
@@ -260,13 +260,18 @@
                 "server_limit_learned"
             );
         }
-        let age = Duration::ZERO;
-        let told = ToldSpeed {
-            server: name.clone(),
-            speed,
-            age,
-        };
-        host.routes.speeds.learn(now, &[told]);
+        let told = self.owned_speed(now, name);
+        host.routes.speeds.learn(now, told.as_slice());
+    }
+
+    /// Learned speed of `server` if this host owns its gate and has enough observations.
+    pub fn owned_speed(&self, now: Time, server: &Name) -> Option<ToldSpeed> {
+        let gate = self.find(server)?;
+        let inner = gate.lock();
+        inner.owned_since?;
+        let (speed, age) = inner.learned.estimate(now)?;
+        let server = server.clone();
+        Some(ToldSpeed { server, speed, age })
     }
 
     /// Learned speed of every server that has a gate on this host and enough observations.
--- a/tests/gate_observe.rs
+++ b/tests/gate_observe.rs
@@ -72,6 +72,29 @@
     assert!(gates >= 2);
 }
 
+/// Fails if a host tells speeds of servers whose gates it does not own, or tells none of its own.
+#[test]
+fn owned_speed_is_known_to_owner_of_gate_alone() {
+    let harness = harness(|s| s.learn = true);
+    let server: Name = "e0".into();
+    let owner = harness.host(0).members.owner(&gate_key(&server));
+    let owner = owner.expect("a gate").name;
+    let told = |host: &Host| host.gates.queues.owned_speed(host.now(), &server);
+    let mut count = 0;
+    wait_for("a speed at the gate", || {
+        for i in 0..3 {
+            count += 1;
+            harness.caller(i).ask(&format!("prompt {count}"), 12);
+        }
+        harness.hosts().iter().any(|h| told(h).is_some())
+    });
+    for host in harness.hosts() {
+        let is_owner = host.me.name == owner;
+        let own = told(&host);
+        assert_eq!(own.is_some(), is_owner, "{own:?}");
+    }
+}
+
 /// Without the setting, hosts must send the messages that earlier builds send, and no others.
 #[test]
 fn observe_off_sends_nothing() {
