Begin learning anew when a server restarts

A restarted server may run on another machine or with another configuration; its gate kept the former speed and limit. A changed start number resets them, as a changed number of slots does; an unknown one changes nothing.

Test: learned_restarted_server_begins_again.

--- a/src/gate/learned.rs
+++ b/src/gate/learned.rs
@@ -98,6 +98,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Learned {
     slots: u32,
+    /// Start number of the server; zero if unknown.
+    start: u64,
     /// Logarithm of the seconds between events at each concurrency; never falls with it.
     levels: Vec<f64>,
     /// Logarithm of the time to the first event by the time between events.
@@ -123,6 +125,7 @@
         let slots = slots.max(1);
         Self {
             slots,
+            start: 0,
             levels: vec![0.0; slots.min(LEVELS_MAX) as usize],
             first: None,
             samples: 0,
@@ -138,10 +141,20 @@
         }
     }
 
-    /// Begins again if the number of slots changed.
-    pub fn resize(&mut self, slots: u32, now: Time) {
-        if slots.max(1) != self.slots {
-            *self = Self::new(slots, now);
+    /// Begins again if the number of slots or the start number of the server changed: a restarted server may
+    /// run on another machine. Start number zero is unknown and changes nothing.
+    pub fn follow_server(&mut self, slots: u32, start: u64, now: Time) {
+        let is_restart = start != 0 && self.start != 0 && start != self.start;
+        if slots.max(1) != self.slots || is_restart {
+            let running = std::mem::take(&mut self.running);
+            *self = Self {
+                running,
+                start: self.start,
+                ..Self::new(slots, now)
+            };
+        }
+        if start != 0 {
+            self.start = start;
         }
     }
 
--- a/src/gate/observe.rs
+++ b/src/gate/observe.rs
@@ -178,7 +178,8 @@
     /// Sets the limits of the queue to what was learned.
     pub(super) fn follow_learned(&mut self, host: &Host, server: &Server) {
         if host.settings.learn {
-            self.learned.resize(server.slots, host.now());
+            self.learned
+                .follow_server(server.slots, server.start, host.now());
             self.apply_learned(host);
         }
     }
--- a/tests/gate_learned.rs
+++ b/tests/gate_learned.rs
@@ -192,7 +192,7 @@
         assert_eq!(learned.limit(), slots.max(1));
         assert!(Learned::floor(slots) <= slots.max(1));
         learned.note_running(Time::ZERO, u32::MAX);
-        learned.resize(4, Time::ZERO);
+        learned.follow_server(4, 0, Time::ZERO);
         assert_eq!(learned.limit(), 4);
     }
 }
@@ -237,3 +237,20 @@
     let after = age + Duration::from_secs(5);
     assert_eq!(model.learned.estimate(later), Some((speed, after)));
 }
+
+/// Fails if a restarted server keeps the estimates of its former start, or if an unknown start number resets.
+#[test]
+fn learned_restarted_server_begins_again() {
+    let mut model = Model::new(STEEP);
+    model.learned.follow_server(SLOTS, 7, model.now);
+    model.run(60.0);
+    let before = model.learned.clone();
+    assert!(before.limit() < SLOTS);
+    for start in [7, 0, 7] {
+        model.learned.follow_server(SLOTS, start, model.now);
+        assert_eq!(model.learned, before, "{start}");
+    }
+    model.learned.follow_server(SLOTS, 8, model.now);
+    assert_eq!(model.learned.limit(), SLOTS);
+    assert_eq!(model.learned.speed(model.now), None);
+}
