--- a/tests/gate_learned.rs
+++ b/tests/gate_learned.rs
@@ -100,6 +100,25 @@
     }
 }
 
+/// Fails if a steep server that changes its speed loses its limit: trials there see too few attempts end.
+#[test]
+fn learned_steep_server_that_changes_speed_keeps_limit() {
+    for factor in [2.0, 0.5] {
+        let mut model = Model::new(STEEP);
+        model.run(120.0);
+        let before = model.learned.limit();
+        model.server.factor *= factor;
+        model.run(122.0);
+        let range = model.range(120.0);
+        println!("times {factor}: {range:?} from {before}");
+        let (least, most) = range;
+        assert!(
+            least + 1 >= before && most <= before + 1,
+            "{least} to {most} from {before}"
+        );
+    }
+}
+
 /// A second of silence and absurd samples must neither take a server out of use nor fix its limit.
 #[test]
 fn learned_silence_and_absurd_samples_are_bounded() {
