--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -293,6 +293,7 @@
             let mut inner = gate.lock();
             inner.queue.expire(host.now());
             inner.follow_headroom(host);
+            inner.apply_learned(host);
             let effects = inner.queue.serve(host.now());
             inner.note_running(host);
             self.apply(host, &gate, &mut inner, effects);
--- a/src/gate/learned.rs
+++ b/src/gate/learned.rs
@@ -98,6 +98,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Learned {
     slots: u32,
+    /// Start number of the server; zero if unknown.
+    start: u64,
     /// Logarithm of the seconds between events at each concurrency; never falls with it.
     levels: Vec<f64>,
     /// Logarithm of the time to the first event by the time between events.
@@ -123,6 +125,7 @@
         let slots = slots.max(1);
         Self {
             slots,
+            start: 0,
             levels: vec![0.0; slots.min(LEVELS_MAX) as usize],
             first: None,
             samples: 0,
@@ -138,10 +141,29 @@
         }
     }
 
-    /// Begins again if the number of slots changed.
-    pub fn resize(&mut self, slots: u32, now: Time) {
-        if slots.max(1) != self.slots {
-            *self = Self::new(slots, now);
+    /// Begins again if the number of slots or the start number of the server changed: a restarted server may
+    /// run on another machine. Start number zero is unknown and changes nothing.
+    pub fn follow_server(&mut self, slots: u32, start: u64, now: Time) {
+        let is_restart = start != 0 && self.start != 0 && start != self.start;
+        if slots.max(1) != self.slots || is_restart {
+            let running = std::mem::take(&mut self.running);
+            *self = Self {
+                running,
+                start: self.start,
+                ..Self::new(slots, now)
+            };
+        }
+        if start != 0 {
+            self.start = start;
+        }
+    }
+
+    /// Returns the limit to the slots if no sample arrived for [`FORGET`]: samples come only from attempts
+    /// that hosts observe, and a limit that nothing confirms must not hold slots back.
+    pub fn expire(&mut self, now: Time) {
+        if self.applied != self.slots && now.saturating_sub(self.sampled_at) >= FORGET {
+            (self.limit, self.applied) = (f64::from(self.slots), self.slots);
+            self.changed_at = now;
         }
     }
 
@@ -155,9 +177,13 @@
         self.applied
     }
 
-    /// Requests up to which batch work is granted: the limit, or less during a trial.
-    pub fn batch_limit(&self) -> u32 {
-        let dip = if self.trials.is_on() { self.dip() } else { 0 };
+    /// Requests up to which batch work is granted at `now`: the limit, or less during a trial.
+    pub fn batch_limit(&self, now: Time) -> u32 {
+        let dip = if self.trials.is_on(now) {
+            self.dip()
+        } else {
+            0
+        };
         self.applied
             .saturating_sub(dip)
             .max(Self::floor(self.slots))
@@ -244,6 +270,12 @@
         })
     }
 
+    /// Speed as of the last sample, and the time since.
+    pub fn estimate(&self, now: Time) -> Option<(Speed, Duration)> {
+        let speed = self.speed(self.sampled_at)?;
+        Some((speed, now.saturating_sub(self.sampled_at)))
+    }
+
     /// Percentage of the expected time by a fresh load report and its age in milliseconds. It is relative
     /// to the reports under which the speed was learned, so that nothing counts twice.
     fn hint(&self, now: Time) -> Option<(u32, u32)> {
--- a/src/gate/observe.rs
+++ b/src/gate/observe.rs
@@ -129,12 +129,14 @@
                     self.mark_down(&peer.name, host.now());
                     ObservedReply::default()
                 }
-                // An earlier build; the release has to reach it in the message that it knows.
-                Err(_) => {
-                    let until = host.now() + UNKNOWN_TIME;
-                    let mut observations = self.observations.lock().expect("observations");
-                    observations.unknown.push((peer.name.clone(), until));
-                    drop(observations);
+                // The release has to reach the host in the message that every build knows.
+                Err(fail) => {
+                    // Builds answer an unknown path with 404; without a decodable error that is `BadRequest`.
+                    if matches!(fail.kind, Kind::NotFound | Kind::BadRequest) {
+                        let until = host.now() + UNKNOWN_TIME;
+                        let mut observations = self.observations.lock().expect("observations");
+                        observations.unknown.push((peer.name.clone(), until));
+                    }
                     self.release_only(host, peer, call.slots)
                 }
             }
@@ -176,8 +178,18 @@
     /// Sets the limits of the queue to what was learned.
     pub(super) fn follow_learned(&mut self, host: &Host, server: &Server) {
         if host.settings.learn {
-            self.learned.resize(server.slots, host.now());
-            let (batch, all) = (self.learned.batch_limit(), self.learned.limit());
+            self.learned
+                .follow_server(server.slots, server.start, host.now());
+            self.apply_learned(host);
+        }
+    }
+
+    /// Sets the limits of the queue to those in force now, which change with time alone, too.
+    pub(super) fn apply_learned(&mut self, host: &Host) {
+        if host.settings.learn {
+            let now = host.now();
+            self.learned.expire(now);
+            let (batch, all) = (self.learned.batch_limit(now), self.learned.limit());
             self.queue.set_concurrency(batch, all);
         }
     }
@@ -206,10 +218,10 @@
         let counts = self.release(host, slots, true);
         let now = host.now();
         let mut speeds: Vec<ToldSpeed> = Vec::new();
-        for (server, speed) in self.speeds(now) {
-            if slots.iter().any(|s| s.server == server) {
-                let age = Duration::ZERO;
-                speeds.push(ToldSpeed { server, speed, age });
+        let servers = slots.iter().map(|s| &s.server);
+        for server in servers.chain(samples.iter().map(|(name, _)| name)) {
+            if speeds.iter().all(|told| told.server != *server) {
+                speeds.extend(self.owned_speed(now, server));
             }
         }
         // What this host itself learned from others may still be news to the caller.
@@ -249,13 +261,18 @@
                 "server_limit_learned"
             );
         }
-        let age = Duration::ZERO;
-        let told = ToldSpeed {
-            server: name.clone(),
-            speed,
-            age,
-        };
-        host.routes.speeds.learn(now, &[told]);
+        let told = self.owned_speed(now, name);
+        host.routes.speeds.learn(now, told.as_slice());
+    }
+
+    /// Learned speed of `server` if this host owns its gate and has enough observations.
+    pub fn owned_speed(&self, now: Time, server: &Name) -> Option<ToldSpeed> {
+        let gate = self.find(server)?;
+        let inner = gate.lock();
+        inner.owned_since?;
+        let (speed, age) = inner.learned.estimate(now)?;
+        let server = server.clone();
+        Some(ToldSpeed { server, speed, age })
     }
 
     /// Learned speed of every server that has a gate on this host and enough observations.
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -145,7 +145,7 @@
             host.note_limit(&slot.server, attempt.start, &limit, &slot.id);
         }
         if verdict == Verdict::Ours {
-            attempt.pace.load = host.load_report(slot, (dialect.load)(&head));
+            attempt.note_load(host, slot, || (dialect.load)(&head));
         }
         match verdict {
             Verdict::Ours => {}
@@ -212,7 +212,7 @@
                     self.host.note_answered(&self.segments, &slot.id);
                 }
                 has_event = true;
-                attempt.pace.note(self.host.now());
+                attempt.note_event(self.host);
                 if !empty.is_empty() {
                     empty.append(&mut event.raw);
                     event.raw = std::mem::take(&mut empty);
--- a/tests/gate_headroom.rs
+++ b/tests/gate_headroom.rs
@@ -228,6 +228,7 @@
             load: 0.0,
             spare: 8,
             is_limited: false,
+            expected: None,
             is_full: true,
             availability: Availability::Available,
         });
