Slow readers: only time in which a write waited counts, and closes happen under the lock

Cause: a reader was judged by when its writer last ran, and by every writer. A host that did not run for longer than the silence closed readers that had kept up. A connection was closed after the lock was released, so that its owner could take the end of the input for the server's own, and an answer cut by it for a complete one. After: a write counts its waiting time, at most its timeout; only the owner decides that its reader is silent; connections are closed under the lock, those to servers through their Closer; a write whose entry is gone fails. A reader is slow after 300 ms instead of 100.

--- a/src/http/readers.rs
+++ b/src/http/readers.rs
@@ -1,13 +1,13 @@
 //! Decides which connections of slow readers are closed.
 
-use crate::clock::Time;
 use std::time::Duration;
 
 /// Bytes that a reader has to take before its waiting time begins anew. One that takes single bytes stays as
 /// slow as one that takes none.
 const PIECE_BYTES: usize = 16 * 1024;
-/// Waiting time up to which a reader is not slow. On a link of 22 Mbit/s a piece takes 6 ms.
-const SLOW_AFTER: Duration = Duration::from_millis(100);
+/// Waiting time up to which a reader is not slow. On a link of 22 Mbit/s a piece takes 6 ms; the rest is for
+/// readers with a small share of a core.
+const SLOW_AFTER: Duration = Duration::from_millis(300);
 
 /// Why a connection is closed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,11 +36,11 @@
     left: usize,
     /// Longest time without a byte taken.
     limit: Duration,
-    /// When it last took a byte.
-    last: Time,
-    /// When it last completed a piece.
-    since: Time,
-    /// Bytes that waited at `since`.
+    /// Time that its writes have waited since it last took a byte.
+    silent: Duration,
+    /// Time that its writes have waited since it last completed a piece.
+    waited: Duration,
+    /// Bytes that waited when it last completed a piece.
     from: usize,
 }
 
@@ -51,7 +51,7 @@
     pub id: u64,
     /// Bytes that waited.
     pub bytes: usize,
-    /// Time since it completed a piece.
+    /// Time that its writes waited since it completed a piece.
     pub waited: Duration,
     /// Why it is closed.
     pub cause: Slow,
@@ -74,7 +74,7 @@
     }
 
     /// Adds a write of which `bytes` wait for a reader that must take one within `limit`. Returns its id.
-    pub fn add(&mut self, bytes: usize, limit: Duration, now: Time) -> u64 {
+    pub fn add(&mut self, bytes: usize, limit: Duration) -> u64 {
         let id = self.next;
         self.next += 1;
         self.held += bytes;
@@ -82,15 +82,16 @@
             id,
             left: bytes,
             limit,
-            last: now,
-            since: now,
+            silent: Duration::ZERO,
+            waited: Duration::ZERO,
             from: bytes,
         });
         id
     }
 
-    /// Records that the reader of the write `id` took `bytes`.
-    pub fn take(&mut self, id: u64, bytes: usize, now: Time) {
+    /// Records that the reader of the write `id` took `bytes` while the write waited for `waited`. Only this
+    /// time counts against the reader: between two writes, the process may not have run.
+    pub fn take(&mut self, id: u64, bytes: usize, waited: Duration) {
         let Ok(at) = self.list.binary_search_by_key(&id, |r| r.id) else {
             return;
         };
@@ -98,11 +99,13 @@
         let bytes = bytes.min(reader.left);
         reader.left -= bytes;
         self.held -= bytes;
-        if bytes > 0 {
-            reader.last = now;
-        }
+        reader.silent = match bytes {
+            0 => reader.silent + waited,
+            _ => Duration::ZERO,
+        };
+        reader.waited += waited;
         if reader.from - reader.left >= PIECE_BYTES {
-            (reader.since, reader.from) = (now, reader.left);
+            (reader.waited, reader.from) = (Duration::ZERO, reader.left);
         }
     }
 
@@ -113,22 +116,21 @@
         }
     }
 
-    /// Removes the writes whose connections are to be closed: those of silent readers, and, while more bytes
-    /// wait than may, the one with the greatest product of bytes and waiting time. Readers that have waited for
-    /// less than 100 ms are not closed for the bound.
-    pub fn close(&mut self, now: Time) -> Vec<Closed> {
-        let is_silent = |r: &Reader| now.saturating_sub(r.last) >= r.limit;
-        let mut closed: Vec<Closed> = (self.list.iter())
-            .filter(|r| is_silent(r))
-            .map(|r| r.closed(Slow::Silent, now))
-            .collect();
+    /// Removes the writes whose connections are to be closed: the write `id` if its reader is silent, and, while
+    /// more bytes wait than may, the one with the greatest product of bytes and waiting time. Readers that have
+    /// waited for less than 300 ms are not closed for the bound.
+    pub fn close(&mut self, id: u64) -> Vec<Closed> {
+        let own = self.list.binary_search_by_key(&id, |r| r.id).ok();
+        let own = own.map(|at| &self.list[at]);
+        let silent = own.filter(|r| r.silent >= r.limit);
+        let mut closed: Vec<Closed> = silent.map(|r| r.closed(Slow::Silent)).into_iter().collect();
         closed.iter().for_each(|c| self.remove(c.id));
         while self.held > self.most {
-            let slow = self.list.iter().filter(|r| r.waited(now) >= SLOW_AFTER);
-            let Some(worst) = slow.max_by_key(|r| r.cost(now)) else {
+            let slow = self.list.iter().filter(|r| r.waited >= SLOW_AFTER);
+            let Some(worst) = slow.max_by_key(|r| r.cost()) else {
                 break;
             };
-            let worst = worst.closed(Slow::Bound, now);
+            let worst = worst.closed(Slow::Bound);
             self.remove(worst.id);
             closed.push(worst);
         }
@@ -137,19 +139,15 @@
 }
 
 impl Reader {
-    fn waited(&self, now: Time) -> Duration {
-        now.saturating_sub(self.since)
-    }
-
-    fn cost(&self, now: Time) -> u128 {
-        self.left as u128 * self.waited(now).as_millis()
+    fn cost(&self) -> u128 {
+        self.left as u128 * self.waited.as_millis()
     }
 
-    fn closed(&self, cause: Slow, now: Time) -> Closed {
+    fn closed(&self, cause: Slow) -> Closed {
         Closed {
             id: self.id,
             bytes: self.left,
-            waited: self.waited(now),
+            waited: self.waited,
             cause,
         }
     }
--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -152,7 +152,9 @@
 
     fn write_all(&self, bytes: &[u8]) -> io::Result<()> {
         match &self.readers {
-            Some(readers) => readers.write_all(&self.stream, bytes, WRITE_TIMEOUT),
+            Some(readers) => {
+                readers.write_all(&self.stream, Some(&self.closer()), bytes, WRITE_TIMEOUT)
+            }
             None => (&*self.stream).write_all(bytes),
         }
     }
