Settings: contracts may be written as a list in brackets, with blanks, or as an unfilled template

Cause: only commas were accepted; a platform that fills the template in another form, or not at all, made the host refuse its settings at start.

--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -99,15 +99,12 @@
             .unwrap_or_default()
     }
 
-    /// Names separated by commas; none if the key is not given.
+    /// Names separated by commas or blanks, or a list in brackets of quoted names, `["a","b"]`. None if the key
+    /// is not given, and if the value holds braces: a template was not filled in.
     pub fn names(&mut self, section: &str, key: &str) -> Vec<Name> {
-        let allowed = "names of letters, digits, \"-\", \"_\" and \".\", separated by commas";
-        let parse = |text: &str| {
-            let names = text.split(',').map(str::trim).filter(|n| !n.is_empty());
-            let names = names.map(|n| is_name(n).then(|| n.into()));
-            names.collect()
-        };
-        self.parse(section, key, allowed, parse).unwrap_or_default()
+        let allowed = "names of letters, digits, \"-\", \"_\" and \".\", separated by commas or blanks, or [\"NAME\",...]";
+        self.parse(section, key, allowed, parse_names)
+            .unwrap_or_default()
     }
 
     /// A decimal number in `min..=max`; `default` if it is not given.
@@ -289,6 +286,24 @@
     text.len() == DIGEST_LEN && text.bytes().all(|b| b.is_ascii_hexdigit())
 }
 
+fn parse_names(text: &str) -> Option<Vec<Name>> {
+    if text.contains(['{', '}']) {
+        return Some(Vec::new());
+    }
+    let list = text.strip_prefix('[').and_then(|t| t.strip_suffix(']'));
+    let parts = list
+        .unwrap_or(text)
+        .split(|c: char| c == ',' || c.is_whitespace());
+    let names = parts.filter(|p| !p.is_empty()).map(|part| {
+        let quoted = ['"', '\'']
+            .iter()
+            .find_map(|q| part.strip_prefix(*q)?.strip_suffix(*q));
+        let name = quoted.unwrap_or(part);
+        is_name(name).then(|| name.into())
+    });
+    names.collect()
+}
+
 fn is_name(text: &str) -> bool {
     (1..=NAME_MAX).contains(&text.len())
         && text
