Tests: times for slow readers and resets are injectable and long

Cause: tests depended on 10 ms between the end of a server's output and its close, and on 100 or 200 ms of waiting, which a delayed thread exceeds.

--- a/src/http/output.rs
+++ b/src/http/output.rs
@@ -101,6 +101,11 @@
         }))
     }
 
+    /// Sets the waiting time up to which a reader is not slow, 300 ms unless set.
+    pub fn set_slow_after(&self, time: Duration) {
+        self.lock().readers.set_slow_after(time);
+    }
+
     /// Bytes that wait.
     pub fn held(&self) -> usize {
         self.lock().readers.held()
--- a/src/http/readers.rs
+++ b/src/http/readers.rs
@@ -23,6 +23,8 @@
 pub struct Readers {
     /// Most bytes that may wait.
     most: usize,
+    /// Waiting time up to which a reader is not slow.
+    slow_after: Duration,
     held: usize,
     next: u64,
     /// Sorted by id.
@@ -62,12 +64,18 @@
     pub fn new(most: usize) -> Self {
         Self {
             most,
+            slow_after: SLOW_AFTER,
             held: 0,
             next: 0,
             list: Vec::new(),
         }
     }
 
+    /// Sets the waiting time up to which a reader is not slow, 300 ms unless set.
+    pub fn set_slow_after(&mut self, time: Duration) {
+        self.slow_after = time;
+    }
+
     /// Bytes that wait.
     pub fn held(&self) -> usize {
         self.held
@@ -118,7 +126,7 @@
 
     /// Removes the writes whose connections are to be closed: the write `id` if its reader is silent, and, while
     /// more bytes wait than may, the one with the greatest product of bytes and waiting time. Readers that have
-    /// waited for less than 300 ms are not closed for the bound.
+    /// waited for less than [`set_slow_after`](Self::set_slow_after) are not closed for the bound.
     pub fn close(&mut self, id: u64) -> Vec<Closed> {
         let own = self.list.binary_search_by_key(&id, |r| r.id).ok();
         let own = own.map(|at| &self.list[at]);
@@ -126,7 +134,7 @@
         let mut closed: Vec<Closed> = silent.map(|r| r.closed(Slow::Silent)).into_iter().collect();
         closed.iter().for_each(|c| self.remove(c.id));
         while self.held > self.most {
-            let slow = self.list.iter().filter(|r| r.waited >= SLOW_AFTER);
+            let slow = self.list.iter().filter(|r| r.waited >= self.slow_after);
             let Some(worst) = slow.max_by_key(|r| r.cost()) else {
                 break;
             };
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -226,7 +226,7 @@
             caller: caller.addr(),
             control: control.addr(),
             declared: Declared::default(),
-            passing: AttemptRegistry::new(slow.clone()),
+            passing: AttemptRegistry::new(slow.clone(), settings.reset_wait),
             dialect: outside.map(|o| o.dialect),
             stopping: AtomicBool::new(false),
             ends: OnceLock::new(),
--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -29,7 +29,7 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after the end of an answer without a length in which a reset shows that the server did not read the
 /// whole body of the request. It follows within a round trip, of about 1 ms between failure domains.
-const RESET_WAIT: Duration = Duration::from_millis(10);
+pub const RESET_WAIT: Duration = Duration::from_millis(10);
 /// Interval at which that time is checked for a reset.
 const RESET_CHECK_EVERY: Duration = Duration::from_millis(1);
 
@@ -51,6 +51,8 @@
     is_unframed: bool,
     /// Whether the request has a body.
     has_body: Cell<bool>,
+    /// Time for which a reset is waited for at the end of an answer without a length.
+    reset_wait: Duration,
     /// The host's bound for slow readers, if there is one.
     readers: Option<SlowReaders>,
 }
@@ -105,6 +107,7 @@
             body: None,
             is_unframed: false,
             has_body: Cell::new(false),
+            reset_wait: RESET_WAIT,
             readers: None,
         })
     }
@@ -118,6 +121,12 @@
         readers.prepare(&self.stream)
     }
 
+    /// Sets the time for which a reset is waited for at the end of an answer without a length, [`RESET_WAIT`]
+    /// unless set.
+    pub fn set_reset_wait(&mut self, wait: Duration) {
+        self.reset_wait = wait;
+    }
+
     /// A handle by which another thread can close the connection.
     pub fn closer(&self) -> Closer {
         Closer {
@@ -218,7 +227,7 @@
     fn is_reset(&self) -> bool {
         let socket = SockRef::from(&*self.stream);
         let wait = if self.has_body.get() {
-            RESET_WAIT
+            self.reset_wait
         } else {
             Duration::ZERO
         };
--- a/src/pass/mod.rs
+++ b/src/pass/mod.rs
@@ -14,7 +14,7 @@
 
 pub use body::{Body, Framing};
 pub use buffer::{Answers, Buffer};
-pub use conn::{Closer, Conn, ReadError};
+pub use conn::{Closer, Conn, RESET_WAIT, ReadError};
 pub use events::{Event, Events};
 pub use forward::{
     Access, Arrival, RETRY_ELSEWHERE, authenticate, authorize, forward, note_refusal, send_error,
--- a/src/pass/registry.rs
+++ b/src/pass/registry.rs
@@ -21,6 +21,8 @@
     answers: Answers,
     /// The host's bound for slow readers, if there is one.
     readers: Option<SlowReaders>,
+    /// As for [`Conn::set_reset_wait`].
+    reset_wait: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -38,10 +40,12 @@
 }
 
 impl AttemptRegistry {
-    /// No attempts yet, with the host's bound for slow readers.
-    pub fn new(readers: Option<SlowReaders>) -> Self {
+    /// No attempts yet, with the host's bound for slow readers, and the wait for a reset as for
+    /// [`Conn::set_reset_wait`].
+    pub fn new(readers: Option<SlowReaders>, reset_wait: Duration) -> Self {
         Self {
             readers,
+            reset_wait: Some(reset_wait),
             ..Self::default()
         }
     }
@@ -57,6 +61,9 @@
     /// As for [`Conn::open`].
     pub fn open(&self, addr: SocketAddr, limit: Duration) -> io::Result<Conn> {
         let mut conn = Conn::open(addr, limit)?;
+        if let Some(wait) = self.reset_wait {
+            conn.set_reset_wait(wait);
+        }
         match &self.readers {
             Some(readers) => conn.bound(readers).map(|()| conn),
             None => Ok(conn),
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,7 +4,7 @@
 
 pub use reader::{Problem, Reader};
 
-use crate::{http::Bounds, limit::Tolerance, wire::Name};
+use crate::{http::Bounds, limit::Tolerance, pass::RESET_WAIT, wire::Name};
 use std::{net::SocketAddr, time::Duration};
 
 /// Settings that the daemon reads at its start.
@@ -37,6 +37,8 @@
     pub bounds: Bounds,
     /// Bound for bytes that wait for slow readers; `None` for none.
     pub unread: Option<Unread>,
+    /// Time for which a reset of a server is waited for at the end of an answer without a length. Not in the file.
+    pub reset_wait: Duration,
     /// Names of what the platform has agreed with this deployment.
     pub contracts: Vec<Name>,
     /// Time limit of an online request whose caller gives no deadline.
@@ -138,6 +140,7 @@
             statsd: r.optional_addr("metrics", "statsd"),
             bounds,
             unread: (unread.bytes > 0).then_some(unread),
+            reset_wait: RESET_WAIT,
             contracts: r.names("platform", "contracts"),
             deadline: r.millis("limits", "deadline_ms", 100, 3_600_000, 60_000),
             linger: r.millis("stop", "linger_ms", 0, 600_000, 2_000),
