--- a/src/gate/learned.rs
+++ b/src/gate/learned.rs
@@ -158,7 +158,7 @@
         }
     }
 
-    /// Returns the limit to the slots if no sample arrived for [`FORGET`]: samples come only from attempts
+    /// Returns the limit to the slots if no sample arrived for `FORGET`: samples come only from attempts
     /// that hosts observe, and a limit that nothing confirms must not hold slots back.
     pub fn expire(&mut self, now: Time) {
         if self.applied != self.slots && now.saturating_sub(self.sampled_at) >= FORGET {
