Test of batch streams: wait until replaced readers have retired

A host that is silent for a moment on a busy machine is replaced as a reader after 300 ms, and its replacement stops following only after a lease and one second. The test read the number once, right after the work. It now waits until each host follows exactly the streams that placement assigns to it, and then checks the number as before.

--- a/tests/batch_streams.rs
+++ b/tests/batch_streams.rs
@@ -134,6 +134,9 @@
         assert_eq!(ids, sorted[..5].iter().collect::<Vec<_>>());
         assert_eq!(list["has_more"], true);
     }
+    // A host that was silent on a busy machine is replaced, and its replacement retires only a lease
+    // after it is back.
+    wait_placed(&harness);
     let hosts = harness.hosts();
     let followed = hosts.iter().map(|h| h.batch.streams.followed().len());
     assert_eq!(followed.sum::<usize>(), STREAMS * READERS);
