List of servers after an outage of the store: keep it through peers and restarts

Hosts keep expired entries in force for 2.3 s, but a host that had started during the outage published the 12 entries that were back at its first read.

A host whose first read failed also keeps expired entries, and takes those from before the outage from a peer.

--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -138,6 +138,25 @@
         known.install_state(host);
     }
 
+    /// The list of servers in force.
+    pub fn servers(&self) -> Versioned<Vec<Server>> {
+        self.lock().fleet.clone()
+    }
+
+    /// The list of servers of the first peer that answers with one that is not empty. Waits for each peer that is
+    /// asked.
+    pub fn servers_of_peer(&self, host: &Host) -> Option<Arc<Vec<Server>>> {
+        let call = DeclaredCall {
+            catalog: u64::MAX,
+            fleet: 0,
+        };
+        host.relay.try_peers(host, |peer| {
+            let reply = host.call(peer.addr, &call, CALL_TIMEOUT).ok()?;
+            let servers = reply.fleet?.value;
+            (!servers.is_empty()).then_some(servers)
+        })
+    }
+
     fn lock(&self) -> MutexGuard<'_, Known> {
         self.known.lock().expect("declared configuration")
     }
