--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -106,6 +106,8 @@
     /// When each part was last known to be the newest version.
     catalog_fresh: Option<Time>,
     fleet_fresh: Option<Time>,
+    /// Whether servers may be missing from the list.
+    is_partial: bool,
 }
 
 impl Declared {
@@ -143,18 +145,10 @@
         self.lock().fleet.clone()
     }
 
-    /// The list of servers of the first peer that answers with one that is not empty. Waits for each peer that is
-    /// asked.
-    pub fn servers_of_peer(&self, host: &Host) -> Option<Arc<Vec<Server>>> {
-        let call = DeclaredCall {
-            catalog: u64::MAX,
-            fleet: 0,
-        };
-        host.relay.try_peers(host, |peer| {
-            let reply = host.call(peer.addr, &call, CALL_TIMEOUT).ok()?;
-            let servers = reply.fleet?.value;
-            (!servers.is_empty()).then_some(servers)
-        })
+    /// Records whether the list of servers may lack some whose entries expired before this host started. If so, peers
+    /// are asked for a newer list also while the source can be read.
+    pub fn set_partial(&self, is_partial: bool) {
+        self.lock().is_partial = is_partial;
     }
 
     fn lock(&self) -> MutexGuard<'_, Known> {
@@ -254,13 +248,15 @@
     })
 }
 
-/// Asks peers while the source cannot be read, until one has read it recently.
+/// Asks peers while the source cannot be read or the list of servers is partial, until one has read it recently and has
+/// a newer list.
 fn catch_up(host: &Arc<Host>) {
     if host.is_stopping() {
         return;
     }
+    let is_partial = host.declared.lock().is_partial;
     let fresh = host.config.progress().caught_up;
-    if fresh.is_some_and(|f| host.now().saturating_sub(f) < STALE_AGE) {
+    if !is_partial && fresh.is_some_and(|f| host.now().saturating_sub(f) < STALE_AGE) {
         return;
     }
     host.relay.try_peers(host, |peer| {
@@ -275,9 +271,9 @@
         let began = host.now();
         match host.call(peer.addr, &call, CALL_TIMEOUT) {
             Ok(reply) => {
-                let is_fresh = reply.is_fresh();
+                let is_found = reply.is_fresh() && (!is_partial || reply.fleet.is_some());
                 apply_reply(host, reply, began);
-                is_fresh.then_some(())
+                is_found.then_some(())
             }
             Err(fail) => {
                 tracing::debug!(peer = &*peer.name, error = %fail, "peer_state_not_read");
