--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -30,7 +30,7 @@
 #[derive(Debug, Default)]
 pub struct Queues {
     /// Sorted by server.
-    pub(super) gates: Mutex<Vec<Arc<Gate>>>,
+    gates: Mutex<Vec<Arc<Gate>>>,
     pub(super) cancels: Mutex<Vec<Preempted>>,
     pub(super) preempted: Condvar,
     /// Servers and hosts for which the gates were last created.
@@ -285,8 +285,7 @@
     /// Follows changes of placement, expires leases and serves the queues.
     pub(super) fn sweep(&self, host: &Host) {
         self.sync_gates(host);
-        let all = self.gates.lock().expect("gates").clone();
-        for gate in all {
+        for gate in self.all() {
             if let Some(server) = accepting_server(host, &gate.server) {
                 self.follow_cold(host, &server);
             }
--- a/src/gate/headroom.rs
+++ b/src/gate/headroom.rs
@@ -150,8 +150,7 @@
 impl Queues {
     /// Sum, over the gates of this host, of the slots kept free of batch work.
     pub fn headroom(&self) -> u32 {
-        let all = self.gates.lock().expect("gates").clone();
-        all.iter().map(|g| g.lock().headroom.kept).sum()
+        self.all().iter().map(|g| g.lock().headroom.kept).sum()
     }
 }
 
