Gate queue: count online slots only where needed

Cause: has_room counted the slots of online requests for each batch request, also without a reserve.

Change: they are counted only if slots are kept free of batch work. No change in behaviour.

Result: tests gate_queue (18) and gate_headroom (11) pass.

--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -336,22 +336,31 @@
 
     fn has_room(&self, now: Time, class: Class) -> bool {
         match class {
-            Class::Online => {
-                let online = self.active().filter(|h| h.request.class == Class::Online);
-                online.count() < self.slots as usize
-            }
+            Class::Online => self.online_held() < self.slots as usize,
             Class::Batch => {
-                let is_online = |h: &&Held| h.request.class == Class::Online;
-                let online = self.active().filter(is_online).count();
-                let unused = (self.reserve as usize).saturating_sub(online);
                 let held = self.active().count();
-                held + unused < self.slots as usize
+                now >= self.started + SETTLE
                     && held < self.limits.0 as usize
-                    && now >= self.started + SETTLE
+                    && held + self.unused_reserve() < self.slots as usize
             }
         }
     }
 
+    /// Slots kept free of batch work that no online request holds.
+    fn unused_reserve(&self) -> usize {
+        match self.reserve {
+            // Most deployments keep no slots free.
+            0 => 0,
+            reserve => (reserve as usize).saturating_sub(self.online_held()),
+        }
+    }
+
+    /// Number of slots that online requests hold.
+    fn online_held(&self) -> usize {
+        let is_online = |h: &&Held| h.request.class == Class::Online;
+        self.active().filter(is_online).count()
+    }
+
     fn take_token(&mut self, now: Time, class: Class) -> bool {
         self.pace.take(now, class == Class::Batch)
     }
