Gate queue: names that tell limits on rates from those on concurrency

Cause: set_limits set rates, while the field limits held concurrency limits that set_concurrency sets.

Change: set_rate_limits, and the field concurrency. No change in behaviour.

--- a/src/gate/follow.rs
+++ b/src/gate/follow.rs
@@ -25,7 +25,7 @@
         let cold = host.gates.cold.rate(server, now);
         self.queue.track_grants(host.gates.cold.has_limits(), now);
         if stated.is_none() && cold.is_none() {
-            return self.queue.set_limits(None, None, now);
+            return self.queue.set_rate_limits(None, None, now);
         }
         let role = self.role(host, &server.name, holder, now);
         let stated = stated.map(|(rate, _)| role.granted_rate(rate));
@@ -34,7 +34,7 @@
             let list_age = host.members.fresh().map(|at| now.saturating_sub(at));
             GrantLimit::cold(rate, role.for_cold(list_age, count))
         });
-        self.queue.set_limits(stated, cold, now);
+        self.queue.set_rate_limits(stated, cold, now);
     }
 
     /// By what right this host grants slots of `server` to `holder`.
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -28,8 +28,8 @@
 #[derive(Debug, Clone)]
 pub struct Queue {
     slots: u32,
-    /// Learned limits: of batch work, and above which online requests preempt it.
-    limits: (u32, u32),
+    /// Learned concurrency limits: of batch work, and above which online requests preempt it.
+    concurrency: (u32, u32),
     started: Time,
     /// Sorted by id.
     held: Vec<Held>,
@@ -78,7 +78,7 @@
     pub fn new(slots: u32, now: Time) -> Self {
         Self {
             slots: slots.max(1),
-            limits: (u32::MAX, u32::MAX),
+            concurrency: (u32::MAX, u32::MAX),
             started: now,
             held: Vec::new(),
             waiting: Vec::new(),
@@ -100,18 +100,19 @@
         self.reserve = reserve;
     }
 
-    /// Grants batch work only below `batch` requests, and has online ones preempt it above `all`.
+    /// Sets the concurrency limits: grants batch work only below `batch` requests, and has online ones preempt
+    /// it above `all`.
     pub fn set_concurrency(&mut self, batch: u32, all: u32) {
-        self.limits = (batch, all);
+        self.concurrency = (batch, all);
     }
 
     /// Grants at most `rate` slots per second from `now` on; any number with `None`.
     pub fn set_rate(&mut self, rate: Option<f64>, now: Time) {
-        self.set_limits(rate, None, now);
+        self.set_rate_limits(rate, None, now);
     }
 
     /// Limits the grants from `now` on to `stated` slots per second and by the limit of a cold server.
-    pub fn set_limits(&mut self, stated: Option<f64>, cold: Option<GrantLimit>, now: Time) {
+    pub fn set_rate_limits(&mut self, stated: Option<f64>, cold: Option<GrantLimit>, now: Time) {
         self.pace.set(stated, cold, now);
     }
 
@@ -340,7 +341,7 @@
             Class::Batch => {
                 let held = self.active().count();
                 now >= self.started + SETTLE
-                    && held < self.limits.0 as usize
+                    && held < self.concurrency.0 as usize
                     && held + self.unused_reserve() < self.slots as usize
             }
         }
@@ -378,7 +379,7 @@
     fn preempt(&mut self, effects: &mut Effects, online: usize) {
         let staying = self.active().filter(|h| !h.preempted).count();
         let above = |most: u32| staying.saturating_sub(most as usize);
-        for _ in 0..above(self.slots).max(above(self.limits.1).min(online)) {
+        for _ in 0..above(self.slots).max(above(self.concurrency.1).min(online)) {
             let batch = self.held.iter_mut();
             let youngest = batch
                 .filter(|h| h.request.class == Class::Batch && !h.preempted)
--- a/tests/gate_cold.rs
+++ b/tests/gate_cold.rs
@@ -72,7 +72,7 @@
         let mut times = Vec::new();
         for step in 0..700 {
             let now = TURN + step * 10 * MS + server * MS;
-            queue.set_limits(None, cold(Role::Gate), now);
+            queue.set_rate_limits(None, cold(Role::Gate), now);
             times.extend(demand(&mut queue, now, 3, Class::Online));
             times.extend(demand(&mut queue, now, 1, Class::Batch));
         }
@@ -90,7 +90,7 @@
         assert_eq!(times.len(), before);
         for step in 0..400 {
             let now = TURN + step * 10 * MS;
-            queue.set_limits(None, cold(Role::Gate), now);
+            queue.set_rate_limits(None, cold(Role::Gate), now);
             times.extend(demand(&mut queue, now, 3, Class::Online));
         }
         let most = busiest(&times, TURN);
@@ -103,7 +103,7 @@
     // Guards against adding to a second that is over the limit, and against a debt that lasts longer.
     let mut queue = Queue::new(8, Time::ZERO);
     assert_eq!(demand(&mut queue, TURN, 40, Class::Online).len(), 40);
-    queue.set_limits(None, cold(Role::Gate), TURN);
+    queue.set_rate_limits(None, cold(Role::Gate), TURN);
     let later = TURN + SECOND - MS;
     assert!(demand(&mut queue, later, 1, Class::Online).is_empty());
     let later = TURN + SECOND + SECOND.div_f64(RATE) + MS;
@@ -115,7 +115,7 @@
     // Guards against the sum of an earlier gate that still grants, the new one and one that stands in.
     let mut queues = [Role::Gate, Role::Standby, Role::Standby].map(|role| {
         let mut queue = Queue::new(8, Time::ZERO);
-        queue.set_limits(None, cold(role), Time::ZERO);
+        queue.set_rate_limits(None, cold(role), Time::ZERO);
         (role, queue)
     });
     let mut times = Vec::new();
@@ -130,7 +130,7 @@
                     _ => {}
                 }
             }
-            queue.set_limits(None, cold(*role), now);
+            queue.set_rate_limits(None, cold(*role), now);
             times.extend(demand(queue, now, 3, Class::Online));
         }
     }
@@ -144,7 +144,7 @@
     let granted = |stated: Option<f64>, is_cold: bool| {
         let mut queue = Queue::new(8, Time::ZERO);
         let limit = cold(Role::Gate).filter(|_| is_cold);
-        queue.set_limits(stated, limit, Time::ZERO);
+        queue.set_rate_limits(stated, limit, Time::ZERO);
         (1..=40)
             .map(|n| demand(&mut queue, SETTLE + n * 100 * MS, 4, Class::Online).len())
             .sum::<usize>()
@@ -157,7 +157,7 @@
 #[test]
 fn batch_takes_the_same_tokens() {
     let mut queue = Queue::new(8, Time::ZERO);
-    queue.set_limits(None, cold(Role::Gate), Time::ZERO);
+    queue.set_rate_limits(None, cold(Role::Gate), Time::ZERO);
     assert_eq!(demand(&mut queue, TURN, 4, Class::Batch).len(), 1);
     assert_eq!(demand(&mut queue, TURN, 4, Class::Online).len(), 1);
 }
@@ -351,7 +351,7 @@
     for step in 0..400 {
         let now = TURN + step * 10 * MS;
         queue.track_grants(true, now);
-        queue.set_limits(None, cold(Role::Gate), now);
+        queue.set_rate_limits(None, cold(Role::Gate), now);
         times.extend(demand(&mut queue, now, 3, Class::Online));
     }
     let most = busiest(&times, TURN);
@@ -370,7 +370,7 @@
         assert!(!limit.is_valid(), "{rate}");
         let mut queue = Queue::new(8, Time::ZERO);
         let burst = 1.0;
-        queue.set_limits(None, Some(GrantLimit { rate, burst }), TURN);
+        queue.set_rate_limits(None, Some(GrantLimit { rate, burst }), TURN);
     }
     assert!(cold_servers().are_cold(&[server()], TURN)[0]);
     assert!(
