--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -295,7 +295,11 @@
             inner.apply_learned(host);
             let effects = inner.queue.serve(host.now());
             inner.note_running(host);
-            self.apply(host, &gate, &mut inner, effects);
+            // Without a grant, the counts are those that the headroom was set by above.
+            match effects.granted.is_empty() {
+                true => self.deliver(host, &gate, &inner, effects),
+                false => self.apply(host, &gate, &mut inner, effects),
+            }
         }
     }
 
@@ -323,9 +327,14 @@
         all.iter().map(counts).collect()
     }
 
-    /// Wakes the calls that got a slot and queues the preempted attempts for a cancel.
+    /// Has the headroom follow the counts after `effects`, and delivers these.
     pub(super) fn apply(&self, host: &Host, gate: &Arc<Gate>, inner: &mut Inner, effects: Effects) {
         inner.follow_headroom(host);
+        self.deliver(host, gate, inner, effects);
+    }
+
+    /// Wakes the calls that got a slot and queues the preempted attempts for a cancel.
+    fn deliver(&self, host: &Host, gate: &Arc<Gate>, inner: &Inner, effects: Effects) {
         inner.wake(&effects.granted);
         for id in &effects.granted {
             host.gates.cold.note_granted(&gate.server, id, host.now());
