Tests of the gate: one request for a slot

Cause: gate_cold, gate_throttle, gate_queue and gate_model each built the same request.

Change: tests/gate_model/ask.rs builds it. The requests are the same as before.

--- a/tests/gate_cold.rs
+++ b/tests/gate_cold.rs
@@ -1,11 +1,15 @@
 //! What cold servers receive: their buckets at gates, and for how long they count as cold.
 
+#[path = "gate_model/ask.rs"]
+mod ask;
+
+use ask::ask;
 use gooseberrytack::{
     clock::Time,
     config::Server,
     gate::{
         ColdEntry, ColdLimit, ColdServers, ColdState, GrantLimit, Queue, Raised, Role, SETTLE,
-        SlotRequest, Verdict,
+        Verdict,
     },
     route::{Departures, connect_suggests_restart},
     wire::{Class, Name},
@@ -21,26 +25,13 @@
 /// Time at which the servers of these tests turn cold.
 const TURN: Time = Duration::from_secs(10);
 
-fn ask(id: String, class: Class) -> SlotRequest {
-    SlotRequest {
-        id: id.into(),
-        holder: "h".into(),
-        workspace: "w".into(),
-        class,
-        model: "m".into(),
-        adapter: None,
-        cost: 10,
-        since: 0,
-    }
-}
-
 /// Asks for `count` slots at `now` and releases those granted, like requests that end at once. Returns the
 /// times of the grants.
 fn demand(queue: &mut Queue, now: Time, count: usize, class: Class) -> Vec<Time> {
     let mut granted = Vec::new();
     for n in 0..count {
         let id = format!("{class:?}-{}-{n}", now.as_millis());
-        let (verdict, _) = queue.request(now, &ask(id.clone(), class), 1, false);
+        let (verdict, _) = queue.request(now, &ask(&id, class), 1, false);
         if verdict == Verdict::Granted {
             granted.push(now);
             queue.release(now, &id, 1);
--- a/tests/gate_model/mod.rs
+++ b/tests/gate_model/mod.rs
@@ -1,5 +1,8 @@
 //! A model of gates under online traffic of peaks and troughs, with batch work.
 
+mod ask;
+
+use ask::ask;
 use gooseberrytack::{
     clock::Time,
     gate::{Effects, Headroom, Queue, Reserve, SETTLE, SlotRequest, Verdict},
@@ -80,14 +83,9 @@
 
 pub fn request(id: &Name, class: Class, since: u64) -> SlotRequest {
     SlotRequest {
-        id: id.clone(),
-        holder: "h".into(),
-        workspace: "w".into(),
-        class,
-        model: "m".into(),
-        adapter: None,
         cost: 100,
         since,
+        ..ask(id, class)
     }
 }
 
--- a/tests/gate_queue.rs
+++ b/tests/gate_queue.rs
@@ -1,5 +1,8 @@
 //! Admission queue of one backend server.
 
+#[path = "gate_model/ask.rs"]
+mod ask;
+
 use gooseberrytack::{
     clock::Time,
     gate::{Effects, Queue, SETTLE, SLOT_LEASE, SlotRequest, Verdict, WAIT_LEASE},
@@ -13,14 +16,8 @@
 
 fn ask(id: &str, workspace: &str, class: Class) -> SlotRequest {
     SlotRequest {
-        id: id.into(),
-        holder: "h".into(),
         workspace: workspace.into(),
-        class,
-        model: "m".into(),
-        adapter: None,
-        cost: 10,
-        since: 0,
+        ..ask::ask(id, class)
     }
 }
 
--- a/tests/gate_throttle.rs
+++ b/tests/gate_throttle.rs
@@ -1,10 +1,12 @@
 //! Limits that servers state on their requests, as their gates hold them.
 
+#[path = "gate_model/ask.rs"]
+mod ask;
+
+use ask::ask;
 use gooseberrytack::{
     clock::Time,
-    gate::{
-        Confirmation, PROBE_RATE, Queue, Role, SETTLE, SHARED_PART, SlotRequest, Throttle, Verdict,
-    },
+    gate::{Confirmation, PROBE_RATE, Queue, Role, SETTLE, SHARED_PART, Throttle, Verdict},
     wire::Class,
 };
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -13,19 +15,6 @@
 const MS: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
 
-fn ask(id: &str, class: Class) -> SlotRequest {
-    SlotRequest {
-        id: id.into(),
-        holder: "h".into(),
-        workspace: "w".into(),
-        class,
-        model: "m".into(),
-        adapter: None,
-        cost: 10,
-        since: 0,
-    }
-}
-
 /// A queue of eight slots with a full bucket of `rate` tokens, and the present time.
 fn throttled(rate: f64) -> (Queue, Time) {
     let mut queue = Queue::new(8, Time::ZERO);
