--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -6,6 +6,7 @@
 mod choose;
 mod dispatch;
 mod ending;
+mod events;
 mod expected;
 mod free;
 mod health;
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -8,29 +8,19 @@
     clock::Time,
     error::{Fail, Kind},
     gate::Slot,
-    pass::{
-        AttemptContext, Conn, Dialect, Event, Events, Head, ReadError, Registration, Request,
-        Verdict,
-    },
+    pass::{AttemptContext, Conn, Dialect, Head, ReadError, Registration, Request, Verdict},
     quarantine::LostAttempt,
-    timeline::Happening,
-    wire::{Answer, Class, Name, Software},
+    wire::{Answer, Class},
 };
 use std::{fmt::Write, io::ErrorKind, time::Duration};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest wait for bytes between two checks whether the answer is still wanted.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest body of an answer that is not an event stream.
 const BODY_MAX_BYTES: usize = 4 << 20;
 /// Most bytes received for such an answer, head and framing included.
 const TOTAL_MAX_BYTES: u64 = 8 << 20;
-/// Most bytes of consecutive events without id and data.
-const EMPTY_EVENTS_MAX_BYTES: usize = 16 * 1024;
-/// Start of an HTTP/1 answer, which is no line of an event.
-const STATUS_LINE_START: &[u8] = b"HTTP/1.";
-/// Longest text of a batch item: the size of a page of results.
-const ITEM_TEXT_MAX_BYTES: usize = 1 << 20;
 
 impl<'a, S: Sink> Run<'a, S> {
     /// Sends `request` to the slot's server, to resume after the last event passed back. `entry` registers the
@@ -173,134 +163,6 @@
         self.read_whole(slot, conn, &head, entry)
     }
 
-    fn read_events(
-        &mut self,
-        slot: &Slot,
-        attempt: &mut Attempt,
-        conn: &mut Conn,
-        head: &Head,
-        entry: &Registration<'_>,
-    ) -> Result<Answer, Abort> {
-        let mut events = Events::default();
-        // Events without id and data; only what follows shows whether they are part of the answer.
-        let mut empty = Vec::new();
-        let mut since = self.host.now();
-        loop {
-            let read = conn.read(POLL_INTERVAL, events.buffer());
-            let Some(more) = self.received(read, since, entry)? else {
-                continue;
-            };
-            let mut has_event = false;
-            while let Some(mut event) = events
-                .pop()
-                .map_err(|_| broken("the answer has an invalid event"))?
-            {
-                if conn.is_unframed() && event.raw.starts_with(STATUS_LINE_START) {
-                    return Err(broken("another answer follows the events"));
-                }
-                if event.is_empty() {
-                    empty.append(&mut event.raw);
-                    if empty.len() > EMPTY_EVENTS_MAX_BYTES {
-                        return Err(broken("the answer has too many events without id and data"));
-                    }
-                    continue;
-                }
-                if attempt.first.is_none() {
-                    attempt.first = Some(self.host.now());
-                    let timeline = &self.host.timeline;
-                    timeline.note(Happening::FirstToken, &slot.id, None, &slot.server);
-                    self.host.note_answered(&self.segments, &slot.id);
-                }
-                has_event = true;
-                attempt.note_event(self.host);
-                if !empty.is_empty() {
-                    empty.append(&mut event.raw);
-                    event.raw = std::mem::take(&mut empty);
-                }
-                self.deliver_event(attempt, head, &event)?;
-            }
-            // Neither bytes of an incomplete event nor comments count as progress.
-            if has_event {
-                self.places = None;
-                since = self.host.now();
-            } else if more {
-                self.check_progress(since)?;
-            }
-            if !more {
-                if events.is_partial() {
-                    self.was_partial = true;
-                    self.may_have_restarted = conn.is_unframed() && !entry.is_ended();
-                    let text = "the answer ended in the middle of an event";
-                    return Err(self.lost(text, entry.is_ended()));
-                }
-                if conn.is_unframed() {
-                    self.check_unframed_end(slot, attempt.first.is_some())?;
-                }
-                self.sink.begin(head).map_err(Abort::Final)?;
-                if !empty.is_empty() {
-                    let event = Event {
-                        id: None,
-                        data: String::new(),
-                        raw: empty,
-                    };
-                    self.sink.event(&event).map_err(Abort::Final)?;
-                }
-                return Ok(self.answer(slot));
-            }
-        }
-    }
-
-    fn deliver_event(
-        &mut self,
-        attempt: &Attempt,
-        head: &Head,
-        event: &Event,
-    ) -> Result<(), Abort> {
-        self.check_deadline().map_err(Abort::Final)?;
-        if let Some(id) = event.id {
-            if self.pos.checked_add(1) != Some(id) {
-                let text = format!("event {id} came after event {}", self.pos);
-                return Err(broken(&text));
-            }
-            self.pos = id;
-            (self.was_partial, self.empty_ends) = (false, 0);
-            if self.version.is_none() {
-                self.begin_version(&attempt.software);
-            }
-        } else if self.pos > 0 {
-            let text = format!("an event without id came after event {}", self.pos);
-            return Err(broken(&text));
-        }
-        if self.work.class == Class::Batch {
-            if !self.text.is_empty() {
-                self.text.push('\n');
-            }
-            self.text += &event.data;
-            if self.text.len() > ITEM_TEXT_MAX_BYTES {
-                // Another server starts from the beginning.
-                self.restart();
-                return Err(broken("the text of the item is too long"));
-            }
-            if !self.text_share.grow(self.text.len()) {
-                self.restart();
-                return Err(broken("the host's memory for complete answers is used up"));
-            }
-        }
-        self.sink
-            .begin(head)
-            .and_then(|()| self.sink.event(event))
-            .map_err(Abort::Final)
-    }
-
-    /// Binds the stream to the software `version` of its first event, which the caller does not have yet.
-    fn begin_version(&mut self, version: &Name) {
-        self.version = Some(version.clone());
-        if self.work.software == Software::Start {
-            self.host
-                .begin_stream(&self.work.id, &self.work.model, version);
-        }
-    }
-
     /// Reads an answer that is not an event stream.
     fn read_whole(
         &mut self,
@@ -344,7 +206,7 @@
         }
     }
 
-    fn answer(&mut self, slot: &Slot) -> Answer {
+    pub(super) fn answer(&mut self, slot: &Slot) -> Answer {
         Answer {
             text: std::mem::take(&mut self.text),
             tokens: self.pos,
@@ -354,7 +216,7 @@
 
     /// The result of a read; `None` if it timed out but the answer is still wanted and the server's
     /// last progress, at `since`, is recent.
-    fn received<T>(
+    pub(super) fn received<T>(
         &mut self,
         read: Result<T, ReadError>,
         since: Time,
@@ -371,7 +233,7 @@
 
     /// Fails if the answer is no longer wanted, or if the request leaves its server, which has made no
     /// progress since `since`.
-    fn check_progress(&mut self, since: Time) -> Result<(), Abort> {
+    pub(super) fn check_progress(&mut self, since: Time) -> Result<(), Abort> {
         self.check_deadline()
             .and_then(|()| self.sink.check())
             .map_err(Abort::Final)?;
@@ -401,7 +263,7 @@
     }
 }
 
-fn broken(text: &str) -> Abort {
+pub(super) fn broken(text: &str) -> Abort {
     Abort::Failed(Fail::new(Kind::BrokenAnswer, text))
 }
 
