Routing state: the servers used for a model are a module

Change: the choice and cache of the servers for a model are in src/route/model_servers.rs. Code was moved only.

Result: tests route_choose, route_expected, route_limits and route_refused pass.

--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -12,6 +12,7 @@
 mod health;
 mod leaving;
 mod limits;
+mod model_servers;
 mod pace;
 mod passing;
 mod refused;
