Gate queue: room and preemption are a module

Change: what decides whether there is room, and preemption, are in src/gate/room.rs. Code was moved only.

--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -19,6 +19,7 @@
 mod pace;
 mod queue;
 mod release;
+mod room;
 mod slot;
 mod suspect;
 mod throttle;
--- a/src/gate/queue.rs
+++ b/src/gate/queue.rs
@@ -27,12 +27,12 @@
 /// The admission queue of one server.
 #[derive(Debug, Clone)]
 pub struct Queue {
-    slots: u32,
+    pub(super) slots: u32,
     /// Learned concurrency limits: of batch work, and above which online requests preempt it.
-    concurrency: (u32, u32),
-    started: Time,
+    pub(super) concurrency: (u32, u32),
+    pub(super) started: Time,
     /// Sorted by id.
-    held: Vec<Held>,
+    pub(super) held: Vec<Held>,
     /// Sorted so that the next to serve is last.
     waiting: Vec<Waiting>,
     online: FairQueue,
@@ -41,19 +41,19 @@
     /// Limits the grants, if the server limits the requests that it takes.
     pace: Pace,
     /// Slots kept free of batch work, those that online requests hold included.
-    reserve: u32,
+    pub(super) reserve: u32,
 }
 
 #[derive(Debug, Clone)]
-struct Held {
-    request: SlotRequest,
+pub(super) struct Held {
+    pub(super) request: SlotRequest,
     weight: u32,
-    grant: u64,
+    pub(super) grant: u64,
     expires: Time,
     /// Whether the attempt is to be cancelled at the server.
-    preempted: bool,
+    pub(super) preempted: bool,
     /// The server ended the attempt; its holder has yet to report the tokens used.
-    ended: bool,
+    pub(super) ended: bool,
     /// Whether the throttle was charged for it.
     is_charged: bool,
 }
@@ -90,22 +90,6 @@
         }
     }
 
-    /// Sets the number of slots; zero counts as one.
-    pub fn resize(&mut self, slots: u32) {
-        self.slots = slots.max(1);
-    }
-
-    /// Keeps `reserve` slots free of new batch work, those that online requests hold included.
-    pub fn set_reserve(&mut self, reserve: u32) {
-        self.reserve = reserve;
-    }
-
-    /// Sets the concurrency limits: grants batch work only below `batch` requests, and has online ones preempt
-    /// it above `all`.
-    pub fn set_concurrency(&mut self, batch: u32, all: u32) {
-        self.concurrency = (batch, all);
-    }
-
     /// Grants at most `rate` slots per second from `now` on; any number with `None`.
     pub fn set_rate(&mut self, rate: Option<f64>, now: Time) {
         self.set_rate_limits(rate, None, now);
@@ -326,42 +310,6 @@
         }
     }
 
-    /// Whether batch work gets no slot because none is free for it, and not because the gate is new.
-    pub fn lacks_batch_slot(&self, now: Time) -> bool {
-        now >= self.started + SETTLE && !self.has_room(now, Class::Batch)
-    }
-
-    fn active(&self) -> impl Iterator<Item = &Held> {
-        self.held.iter().filter(|h| !h.ended)
-    }
-
-    fn has_room(&self, now: Time, class: Class) -> bool {
-        match class {
-            Class::Online => self.online_held() < self.slots as usize,
-            Class::Batch => {
-                let held = self.active().count();
-                now >= self.started + SETTLE
-                    && held < self.concurrency.0 as usize
-                    && held + self.unused_reserve() < self.slots as usize
-            }
-        }
-    }
-
-    /// Slots kept free of batch work that no online request holds.
-    fn unused_reserve(&self) -> usize {
-        match self.reserve {
-            // Most deployments keep no slots free.
-            0 => 0,
-            reserve => (reserve as usize).saturating_sub(self.online_held()),
-        }
-    }
-
-    /// Number of slots that online requests hold.
-    fn online_held(&self) -> usize {
-        let is_online = |h: &&Held| h.request.class == Class::Online;
-        self.active().filter(is_online).count()
-    }
-
     fn take_token(&mut self, now: Time, class: Class) -> bool {
         self.pace.take(now, class == Class::Batch)
     }
@@ -373,25 +321,6 @@
         Some(gone)
     }
 
-    /// Preempts batch attempts until the rest fit the slots. Attempts of the youngest jobs go first, so
-    /// that the jobs of a burst end one after the other instead of all late. Above the learned limit, each
-    /// of `online` new online requests preempts one; a limit that falls preempts none by itself.
-    fn preempt(&mut self, effects: &mut Effects, online: usize) {
-        let staying = self.active().filter(|h| !h.preempted).count();
-        let above = |most: u32| staying.saturating_sub(most as usize);
-        for _ in 0..above(self.slots).max(above(self.concurrency.1).min(online)) {
-            let batch = self.held.iter_mut();
-            let youngest = batch
-                .filter(|h| h.request.class == Class::Batch && !h.preempted)
-                .max_by_key(|h| (h.request.since, h.grant));
-            let Some(youngest) = youngest else {
-                return;
-            };
-            youngest.preempted = true;
-            effects.preempted.push(youngest.request.id.clone());
-        }
-    }
-
     fn enqueue(&mut self, now: Time, request: &SlotRequest, weight: u32) {
         self.sequence += 1;
         let start = match request.class {
