Learned limit: divide a deviation between speed and shape by what the observation covers

Cause: an observation was compared with the time at the mean concurrency of its span, and its deviation went to the speed if that was the usual concurrency. At a steep server whose concurrency changed within the span, the deviation of a higher concurrency passed for a change of the speed, the next one at the higher concurrency for a flatter shape, and the limit rose from 4 to 8. Hosts also reported a moving average, which contains times from before the span. The first event of a long attempt, from another concurrency, counted beside the later ones. Observations from before a trial, and counts from before it, ended the trial.

Change: the expected time is the mean over the span, by events, at each concurrency; a Kalman filter with a fast speed and a slow shape divides the deviation (gate::levels). Holders report the mean of exactly the last eight times between events. A first event counts only without a time between events. A trial counts only what began in it; the medians of trials are no longer needed.

The tests of the model also run with holders that report means, as hosts do; no bound is changed.

--- a/src/gate/learned.rs
+++ b/src/gate/learned.rs
@@ -2,34 +2,22 @@
 //!
 //! Addresses servers of one service that differ in speed, share their machines with other work and may
 //! slow down long before all slots are in use. The time between events at each concurrency is a speed,
-//! which changes within a second, times a shape, which hardly changes. By Little's law the throughput at
+//! which changes within a second, times a shape, which hardly changes (`levels`). By Little's law the throughput at
 //! a concurrency is the concurrency divided by that time; the limit moves to a concurrency with a
 //! clearly better throughput. A change of speed alone does not move it.
 
-use super::trial::{Point, Trials};
+use super::{levels::Levels, trial::Trials};
 use crate::{clock::Time, pass::LoadReport};
 use serde::{Deserialize, Serialize};
 use std::{collections::VecDeque, time::Duration};
 
-/// Most levels of concurrency that are told apart; a server with more slots has several in one level.
-const LEVELS_MAX: u32 = 64;
-/// Part of a deviation that is taken over. Six samples take over nine tenths of a change; a server in use
-/// ends about three attempts a second.
-const WEIGHT: f64 = 0.4;
-/// Part of it that goes to the shape if the concurrency is the usual one, and if it is another one.
-const SHAPE_PARTS: (f64, f64) = (0.05, 0.7);
-/// Part of a deviation of the shape that is lost with each level of distance.
-const NEARBY: f64 = 0.5;
-/// Part by which the usual concurrency and the usual percentage of load reports follow.
+/// Part by which the usual percentage of load reports follows.
 const USUAL_WEIGHT: f64 = 0.35;
-/// Distance from the usual concurrency, in levels, at which a deviation is mostly due to the shape.
-const CONTRAST: f64 = 2.0;
 /// Part by which the ratio of the first event to the others follows.
 const FIRST_WEIGHT: f64 = 0.1;
-/// Weight of the first event beside the mean time between events; it depends on the prompt as well.
+/// Part of the deviation of a first event that counts if there is no time between events; it depends on the
+/// prompt as well. Beside a time between events it is not used: a long attempt began at another concurrency.
 const FIRST_SHARE: f64 = 0.25;
-/// Largest deviation of a sample, the logarithm of three: a silence moves nothing by more.
-const DEVIATION_MAX: f64 = 1.1;
 /// Samples before the limit may leave the server's slots, and before the speed is told.
 const SAMPLES_MIN: u32 = 8;
 /// Least gain of throughput for which the limit falls, and for which it rises. Noise makes lower levels
@@ -41,12 +29,10 @@
 const HYSTERESIS: f64 = 0.75;
 /// Least time between two changes of the limit.
 const CHANGE_MIN: Duration = Duration::from_millis(250);
-/// Time in which the excess of levels above the concurrency in use fades, so that they are tried again.
+/// Time without samples after which the limit returns to the slots.
 const FORGET: Duration = Duration::from_secs(120);
 /// Part of the present throughput from which a lower concurrency is tried often.
 const PROMISING: f64 = 0.9;
-/// Part of the difference seen in a trial that is taken over.
-const TRIAL_WEIGHT: f64 = 0.7;
 /// Span of the history of the concurrency, and most entries of it.
 const HISTORY: Duration = Duration::from_secs(10);
 const HISTORY_MAX: usize = 512;
@@ -54,8 +40,8 @@
 const HINT_AGE: Duration = Duration::from_millis(300);
 /// Largest factor by which a load report changes the expected time.
 const HINT_MAX: f64 = 2.0;
-/// Shortest time between events that is told apart.
-const SHORTEST_S: f64 = 1e-6;
+/// Shortest time that is told apart.
+const SHORTEST: Duration = Duration::from_micros(1);
 /// Longest time that a sample counts with.
 const LONGEST_S: f64 = 600.0;
 
@@ -100,8 +86,7 @@
     slots: u32,
     /// Start number of the server; zero if unknown.
     start: u64,
-    /// Logarithm of the seconds between events at each concurrency; never falls with it.
-    levels: Vec<f64>,
+    levels: Levels,
     /// Logarithm of the time to the first event by the time between events.
     first: Option<f64>,
     samples: u32,
@@ -111,8 +96,6 @@
     changed_at: Time,
     /// Requests running since each time, oldest first.
     running: VecDeque<(Time, u32)>,
-    /// Usual level of the samples.
-    usual_at: f64,
     trials: Trials,
     /// Mean of the percentages that load reports stated when the samples were taken.
     usual: f64,
@@ -126,7 +109,7 @@
         Self {
             slots,
             start: 0,
-            levels: vec![0.0; slots.min(LEVELS_MAX) as usize],
+            levels: Levels::new(slots),
             first: None,
             samples: 0,
             sampled_at: now,
@@ -134,7 +117,6 @@
             applied: slots,
             changed_at: now,
             running: VecDeque::new(),
-            usual_at: 0.0,
             trials: Trials::new(now),
             usual: 100.0,
             report: None,
@@ -210,27 +192,32 @@
         if let Some((report, age)) = sample.load {
             self.note_report(report, now.saturating_sub(age));
         }
-        let seconds = |time: Duration| time.as_secs_f64().clamp(SHORTEST_S, LONGEST_S).ln();
+        let seconds = |time: Duration| {
+            time.as_secs_f64()
+                .clamp(SHORTEST.as_secs_f64(), LONGEST_S)
+                .ln()
+        };
         let (gap, first) = (sample.gap.map(seconds), sample.first.map(seconds));
         let end = now.saturating_sub(sample.age);
-        let at = self.level(self.mean_running(end.saturating_sub(sample.span), end));
+        let start = end.saturating_sub(sample.span);
         if self.samples == 0 {
             // Without a time between events there is nothing to compare with.
             let Some(gap) = gap else { return false };
             self.levels.fill(gap);
-            self.usual_at = at as f64;
         }
-        let level = self.levels[at];
-        let by_gap = gap.map(|gap| gap - level);
-        let by_first = first.zip(self.first).map(|(f, ratio)| f - level - ratio);
-        let deviation = match (by_gap, by_first) {
-            (Some(gap), Some(first)) => gap + FIRST_SHARE * (first - gap),
-            // One value is weaker evidence if it is the first event alone.
-            (None, Some(first)) => FIRST_SHARE * first,
-            (Some(gap), None) => gap,
+        let parts = self.parts(start, end);
+        let seconds: f64 = parts.iter().map(|(_, seconds)| seconds).sum();
+        let mean = parts.iter().map(|(count, s)| count * s).sum::<f64>() / seconds;
+        let at = self.level(mean);
+        let span = self
+            .levels
+            .span(parts.iter().map(|(c, s)| (self.level(*c), *s)));
+        let by_first = first.zip(self.first).map(|(f, ratio)| f - ratio);
+        let deviation = match (gap, by_first) {
+            (Some(gap), _) => gap - span.expected,
+            (None, Some(first)) => FIRST_SHARE * (first - span.expected),
             (None, None) => return false,
         };
-        let deviation = deviation.clamp(-DEVIATION_MAX, DEVIATION_MAX);
         if let (Some(first), Some(gap)) = (first, gap) {
             let ratio = first - gap;
             self.first = Some(self.first.map_or(ratio, |r| r + FIRST_WEIGHT * (ratio - r)));
@@ -238,17 +225,14 @@
         let idle = now.saturating_sub(self.sampled_at).min(FORGET);
         self.sampled_at = self.sampled_at.max(now);
         self.samples = self.samples.saturating_add(1);
-        self.adjust(at, deviation, idle);
+        self.levels.adjust(&span, at, deviation, idle);
         let percent = self.fresh_percent(now).unwrap_or(100.0);
         self.usual += USUAL_WEIGHT * (percent - self.usual);
         let is_changed = self.move_limit(now);
         let lower = self.level(f64::from(self.applied.saturating_sub(self.dip())));
-        let enough = PROMISING * self.throughput(self.level(f64::from(self.applied)));
-        let is_promising = (0..=lower).any(|at| self.throughput(at) >= enough);
-        let trial = self.trials.follow(now, at, gap, lower, is_promising);
-        if let Some((low, high)) = trial.filter(|(low, high)| low.0 < high.0) {
-            self.compare(low, high);
-        }
+        let enough = PROMISING * self.levels.throughput(self.level(f64::from(self.applied)));
+        let is_promising = (0..=lower).any(|at| self.levels.throughput(at) >= enough);
+        self.trials.follow(now, start, at <= lower, is_promising);
         is_changed
     }
 
@@ -258,11 +242,12 @@
             return None;
         }
         let micros = |level: f64| (level.exp() * 1e6).clamp(1.0, f64::from(u32::MAX)) as u32;
-        let (step, full) = (self.levels[0], self.levels[self.levels.len() - 1]);
+        let levels = &self.levels;
+        let (step, full) = (levels.log(0), levels.log(levels.count() - 1));
         Some(Speed {
             first: micros(step + self.first.unwrap_or_default()),
             step: micros(step),
-            knee: micros(self.levels[self.level(f64::from(self.applied))]),
+            knee: micros(levels.log(self.level(f64::from(self.applied)))),
             full: micros(full),
             limit: self.applied,
             usual: self.usual as u32,
@@ -298,83 +283,47 @@
         }
     }
 
-    /// Mean number of requests that ran from `start` to `end`.
-    fn mean_running(&self, start: Time, end: Time) -> f64 {
-        let (mut sum, mut total) = (0.0, 0.0);
-        let mut until = end.max(start + Duration::from_micros(1));
+    /// Numbers of requests that ran from `start` to `end` as far as they are known, each with its seconds; never empty.
+    fn parts(&self, start: Time, end: Time) -> Vec<(f64, f64)> {
+        let mut parts = Vec::new();
+        let mut until = end.max(start + SHORTEST);
         for (at, count) in self.running.iter().rev() {
-            let time = until.saturating_sub((*at).max(start)).as_secs_f64();
-            sum += time * f64::from(*count);
-            total += time;
+            let time = until.saturating_sub((*at).max(start));
+            if !time.is_zero() {
+                parts.push((f64::from(*count), time.as_secs_f64()));
+            }
             until = until.min(*at);
             if *at <= start {
                 break;
             }
         }
-        match total > 0.0 {
-            true => sum / total,
-            false => self.running.front().map_or(1.0, |(_, c)| f64::from(*c)),
+        if parts.is_empty() {
+            let oldest = self.running.front().map_or(1, |(_, count)| *count);
+            parts.push((f64::from(oldest), SHORTEST.as_secs_f64()));
         }
+        parts
     }
 
     /// Index of the level for `running` requests.
     fn level(&self, running: f64) -> usize {
-        let count = self.levels.len();
+        let count = self.levels.count();
         let at = running * count as f64 / f64::from(self.slots);
         (at.round() as usize).clamp(1, count) - 1
     }
 
-    /// Moves all levels with the speed, and `at` and those that it bounds with the shape.
-    fn adjust(&mut self, at: usize, deviation: f64, idle: Duration) {
-        let distance = at as f64 - self.usual_at;
-        self.usual_at += USUAL_WEIGHT * distance;
-        let contrast = (distance.abs() / CONTRAST).min(1.0);
-        let part = SHAPE_PARTS.0 + (SHAPE_PARTS.1 - SHAPE_PARTS.0) * contrast;
-        let (speed, shape) = (WEIGHT * (1.0 - part), WEIGHT * part);
-        let (base, fade) = (self.levels[at], idle.as_secs_f64() / FORGET.as_secs_f64());
-        for (i, level) in self.levels.iter_mut().enumerate() {
-            if i > at {
-                *level -= fade * (*level - base);
-            }
-            let near = (1.0 - NEARBY * i.abs_diff(at) as f64).max(0.0);
-            *level += deviation * (speed + shape * near);
-        }
-        // A server is not slower with fewer requests.
-        for i in at + 1..self.levels.len() {
-            self.levels[i] = self.levels[i].max(self.levels[i - 1]);
-        }
-        for i in (0..at).rev() {
-            self.levels[i] = self.levels[i].min(self.levels[i + 1]);
-        }
-    }
-
-    /// Moves the shape towards the difference that a trial showed between two levels.
-    fn compare(&mut self, low: Point, high: Point) {
-        let known = self.levels[high.0] - self.levels[low.0];
-        let seen = (high.1 - low.1).clamp(0.0, DEVIATION_MAX);
-        for i in (0..high.0).rev() {
-            let part = i.saturating_sub(low.0) as f64 / (high.0 - low.0) as f64;
-            let level = self.levels[i] - TRIAL_WEIGHT * (seen - known) * (1.0 - part);
-            self.levels[i] = level.min(self.levels[i + 1]);
-        }
-    }
-
-    /// Requests at the level `at` that end in a unit of time, by Little's law.
-    fn throughput(&self, at: usize) -> f64 {
-        (at + 1) as f64 / (self.levels[at] - self.levels[0]).exp()
-    }
-
     fn move_limit(&mut self, now: Time) -> bool {
         if self.samples < SAMPLES_MIN {
             return false;
         }
-        let count = self.levels.len();
+        let count = self.levels.count();
         let now_at = self.level(f64::from(self.applied));
-        let by_throughput =
-            |a: &usize, b: &usize| self.throughput(*a).total_cmp(&self.throughput(*b));
+        let by_throughput = |a: &usize, b: &usize| {
+            let levels = &self.levels;
+            levels.throughput(*a).total_cmp(&levels.throughput(*b))
+        };
         let best = (0..count).max_by(by_throughput).unwrap_or(now_at);
         let margin = if best < now_at { GAINS.0 } else { GAINS.1 };
-        let target = match self.throughput(best) > margin * self.throughput(now_at) {
+        let target = match self.levels.throughput(best) > margin * self.levels.throughput(now_at) {
             // Upwards one by one, as more is known of lower levels.
             true => (best.min(now_at + 1) + 1) as f64 * f64::from(self.slots) / count as f64,
             false => f64::from(self.applied),
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -14,6 +14,7 @@
 mod hold;
 mod learned;
 mod leave;
+mod levels;
 mod limit;
 mod observe;
 mod pace;
--- a/src/route/pace.rs
+++ b/src/route/pace.rs
@@ -1,19 +1,18 @@
 //! Times of the events of one attempt.
 
 use crate::{clock::Time, gate::Observed, pass::LoadReport};
-use std::time::Duration;
 
-/// Events over which the mean time between events is taken, about: the last third of a second to a
-/// second, so that a long attempt does not tell of the distant past.
-const RECENT: u32 = 8;
+/// Times between events of which the mean is taken: the last third of a second to a second or two, so that a
+/// long attempt does not tell of the distant past.
+const RECENT: usize = 8;
 
 /// Times of the events so far.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Pace {
     first: Option<Time>,
-    last: Time,
-    gaps: u32,
-    mean: Duration,
+    /// The last events, in a ring; the oldest is overwritten.
+    recent: [Time; RECENT + 1],
+    count: usize,
     /// The newest load report of the server and when it came.
     pub(super) load: Option<(LoadReport, Time)>,
 }
@@ -21,25 +20,24 @@
 impl Pace {
     /// Records an event at `now`.
     pub(super) fn note(&mut self, now: Time) {
-        if self.first.is_none() {
-            self.first = Some(now);
-        } else {
-            let gap = now.saturating_sub(self.last);
-            self.gaps = self.gaps.saturating_add(1);
-            let weight = self.gaps.min(RECENT);
-            self.mean = (self.mean * (weight - 1) + gap) / weight;
-        }
-        self.last = now;
+        self.first.get_or_insert(now);
+        self.recent[self.count % self.recent.len()] = now;
+        self.count += 1;
     }
 
     /// What was observed of the attempt, which began at `began`; `None` without events.
     pub(super) fn observed(&self, began: Time) -> Option<Observed> {
-        let first = self.first?;
+        let (first, newest) = (self.first?, self.count - 1);
+        let gaps = newest.min(RECENT);
+        let time = |event: usize| self.recent[event % self.recent.len()];
+        // The gate compares the mean with the concurrency in just this span; a mean that also contains earlier
+        // times takes a change of the concurrency for one of the server's speed.
+        let span = time(newest).saturating_sub(time(newest - gaps));
         Some(Observed {
             first: Some(first.saturating_sub(began)),
-            gap: (self.gaps > 0).then_some(self.mean),
-            span: self.mean * self.gaps.min(RECENT),
-            at: self.last,
+            gap: (gaps > 0).then(|| span / gaps as u32),
+            span,
+            at: time(newest),
             load: self.load,
         })
     }
--- a/tests/gate_learned.rs
+++ b/tests/gate_learned.rs
@@ -15,16 +15,14 @@
 /// congestion wastes the slots of slow servers. Noise may cost a quarter of the slots for a moment.
 #[test]
 fn learned_uniform_servers_keep_all_slots() {
-    for factor in [0.55, 1.0, 1.2] {
-        let mut model = Model::new(Server { factor, ..EVEN });
+    let servers = [0.55, 1.0, 1.2].map(|factor| Server { factor, ..EVEN }.each_report());
+    for server in servers.into_iter().flatten() {
+        let factor = server.factor;
+        let mut model = Model::new(server);
         model.run(120.0);
         assert_eq!(model.range(115.0), (SLOTS, SLOTS), "{factor}");
         let is_noisy = true;
-        let mut model = Model::new(Server {
-            factor,
-            is_noisy,
-            ..EVEN
-        });
+        let mut model = Model::new(Server { is_noisy, ..server });
         model.run(120.0);
         let sum: u32 = model.limits.iter().sum();
         let mean = f64::from(sum) / model.limits.len() as f64;
@@ -42,8 +40,9 @@
 /// A server that slows down sharply above half of its slots must not be filled.
 #[test]
 fn learned_steep_server_ends_near_half_and_stays() {
-    for is_noisy in [false, true] {
-        let mut model = Model::new(Server { is_noisy, ..STEEP });
+    let servers = [false, true].map(|is_noisy| Server { is_noisy, ..STEEP }.each_report());
+    for server in servers.into_iter().flatten() {
+        let mut model = Model::new(server);
         model.run(5.0);
         let before = model.done;
         model.run(10.0);
@@ -53,7 +52,7 @@
         model.run(60.0);
         let gain = (model.done - before) / 6.0 / full;
         println!(
-            "noisy {is_noisy}: limits {:?}, events {gain:.2} of full slots",
+            "{server:?}: limits {:?}, events {gain:.2} of full slots",
             model.range(60.0)
         );
         let (least, most) = model.range(60.0);
@@ -79,7 +78,8 @@
         ),
         (STEEP, 3),
     ] {
-        for factor in [2.0, 0.5] {
+        let reports = server.each_report();
+        for (server, factor) in reports.map(|s| [(s, 2.0), (s, 0.5)]).into_iter().flatten() {
             let mut model = Model::new(server);
             model.run(120.0);
             let before = model.learned.limit();
@@ -100,11 +100,13 @@
     }
 }
 
-/// Fails if a steep server that changes its speed loses its limit: trials there see too few attempts end.
+/// Fails if a steep server that changes its speed loses its limit: an observation that spans a change of the
+/// concurrency must not pass for a change of the speed, nor the reverse.
 #[test]
 fn learned_steep_server_that_changes_speed_keeps_limit() {
-    for factor in [2.0, 0.5] {
-        let mut model = Model::new(STEEP);
+    let servers = STEEP.each_report().map(|s| [(s, 2.0), (s, 0.5)]);
+    for (server, factor) in servers.into_iter().flatten() {
+        let mut model = Model::new(server);
         model.run(120.0);
         let before = model.learned.limit();
         model.server.factor *= factor;
@@ -245,6 +247,61 @@
     assert_eq!(steep.learned.limit(), SLOTS);
 }
 
+/// Fails if observations that reach back to before a trial end it: they tell of the usual concurrency, and the
+/// trial would end before anything ran at the lower one.
+#[test]
+fn learned_trial_ignores_observations_from_before_it() {
+    let mut model = Model::new(EVEN);
+    let is_trial = |model: &Model| model.learned.batch_limit(model.now) < model.learned.limit();
+    for _ in 0..100_000 {
+        if is_trial(&model) {
+            break;
+        }
+        model.tick();
+    }
+    let second = Duration::from_secs(1);
+    model.learned.note_running(model.now, SLOTS / 2);
+    model.now += second;
+    for (span, is_on) in [(second + TICK * 4, true), (second / 2, false)] {
+        for _ in 0..4 {
+            assert!(is_trial(&model), "ended with a span of {span:?}");
+            let sample = Sample {
+                first: None,
+                gap: Some(Duration::from_millis(30)),
+                span,
+                age: Duration::ZERO,
+                load: None,
+            };
+            model.learned.learn(model.now, &sample);
+        }
+        assert_eq!(is_trial(&model), is_on, "{span:?}");
+    }
+}
+
+/// Fails if the first event of a long attempt passes for news: it came long before the events whose times are
+/// compared, at another concurrency or speed of the server.
+#[test]
+fn learned_first_event_does_not_outweigh_later_ones() {
+    let mut model = Model::new(EVEN);
+    model.run(60.0);
+    let known = model.learned.speed(model.now).expect("a speed");
+    for _ in 0..20 {
+        model.now += Duration::from_millis(300);
+        let sample = Sample {
+            first: Some(Duration::from_secs(30)),
+            gap: Some(Duration::from_micros(u64::from(known.full))),
+            span: TICK,
+            age: Duration::ZERO,
+            load: None,
+        };
+        model.learned.note_running(model.now, SLOTS);
+        model.learned.learn(model.now, &sample);
+    }
+    let speed = model.learned.speed(model.now).expect("a speed");
+    assert!(speed.full.abs_diff(known.full) < known.full / 20);
+    assert_eq!(speed.limit, SLOTS);
+}
+
 /// Fails if old estimates pass as new ones: hosts would prefer them to newer ones from elsewhere.
 #[test]
 fn learned_estimate_tells_time_since_last_sample() {
--- a/tests/server_model/mod.rs
+++ b/tests/server_model/mod.rs
@@ -4,7 +4,7 @@
     clock::Time,
     gate::{Learned, Sample},
 };
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 pub const SLOTS: u32 = 8;
 pub const TICK: Duration = Duration::from_millis(5);
@@ -12,6 +12,8 @@
 const BASE_S: f64 = 0.025;
 const ONLINE_EVENTS: f64 = 18.0;
 const BATCH_EVENTS: f64 = 122.0;
+/// Times between events of which holders report the mean.
+const RECENT: usize = 8;
 /// Online requests per second in peaks of 2.4 s and troughs of 3.4 s.
 const PEAK: (f64, f64) = (6.0, 2.4);
 const TROUGH: (f64, f64) = (1.2, 3.4);
@@ -26,6 +28,9 @@
     pub is_noisy: bool,
     /// Part of the online requests that it gets.
     pub load: f64,
+    /// Whether holders report the mean of the last eight times between events, as hosts do, or the time
+    /// that the last tick would give.
+    pub is_mean: bool,
 }
 
 pub const EVEN: Server = Server {
@@ -34,6 +39,7 @@
     is_steep: false,
     is_noisy: false,
     load: 1.0,
+    is_mean: false,
 };
 
 /// Gets fewer requests, as it is slow.
@@ -44,6 +50,11 @@
 };
 
 impl Server {
+    /// The server with holders that report either kind of times.
+    pub fn each_report(self) -> [Self; 2] {
+        [false, true].map(|is_mean| Self { is_mean, ..self })
+    }
+
     fn gap(&self, running: u32, at: Time) -> f64 {
         let steep = match self.is_steep {
             true => 1.0 + 0.5 * f64::from(running.saturating_sub(SLOTS / 2)),
@@ -60,6 +71,8 @@
     left: f64,
     began: Time,
     first: Option<Time>,
+    /// The last events, at most nine.
+    events_at: VecDeque<Time>,
 }
 
 /// A server that always has batch work waiting, its gate, and the limits that were in force.
@@ -113,7 +126,12 @@
         while i < self.running.len() {
             let attempt = &mut self.running[i];
             let progress = TICK.as_secs_f64() / gap;
+            let before = attempt.left.ceil();
             (attempt.left, self.done) = (attempt.left - progress, self.done + progress);
+            if attempt.left.ceil() < before {
+                attempt.events_at.truncate(RECENT);
+                attempt.events_at.push_front(self.now);
+            }
             if attempt.first.is_none() && attempt.left <= attempt.events - 1.0 {
                 attempt.first = Some(self.now);
             }
@@ -134,23 +152,36 @@
             self.end(batch, gap);
         }
         let (left, began, first) = (events, self.now, None);
+        let events_at = VecDeque::new();
         self.running.push(Attempt {
             events,
             left,
             began,
             first,
+            events_at,
         });
     }
 
     fn end(&mut self, i: usize, gap: f64) {
         let gone = self.running.remove(i);
         let Some(first) = gone.first else { return };
-        let gap = Duration::from_secs_f64(gap);
+        let (gap, span, age) = match self.server.is_mean {
+            true => {
+                let (last, gaps) = (gone.events_at[0], gone.events_at.len() - 1);
+                let span = last - gone.events_at[gaps];
+                let gap = (gaps > 0).then(|| span / gaps as u32);
+                (gap, span, self.now - last)
+            }
+            false => {
+                let gap = Duration::from_secs_f64(gap);
+                (Some(gap), gap * RECENT as u32, Duration::ZERO)
+            }
+        };
         let sample = Sample {
             first: Some(first - gone.began),
-            gap: Some(gap),
-            span: gap * 8,
-            age: Duration::ZERO,
+            gap,
+            span,
+            age,
             load: None,
         };
         self.learned.learn(self.now, &sample);
