Learned speed: reports of any age tell what is usual

Cause: the percentage under which a speed was learned counted as 100 unless a report was fresh when the attempt ended. Reports come with the head of an answer, so that those of attempts longer than 300 ms never were: a server that constantly reports 250 counted as twice as slow for 300 ms after each report, although its speed already contained that.

Change: without a fresh report, the slow mean of all reports counts.

--- a/src/gate/learned.rs
+++ b/src/gate/learned.rs
@@ -13,6 +13,8 @@
 
 /// Part by which the usual percentage of load reports follows.
 const USUAL_WEIGHT: f64 = 0.35;
+/// Part by which the mean percentage of reports of any age follows; it stands in for a fresh one.
+const REPORTED_WEIGHT: f64 = 0.05;
 /// Part by which the ratio of the first event to the others follows.
 const FIRST_WEIGHT: f64 = 0.1;
 /// Part of the deviation of a first event that counts if there is no time between events; it depends on the
@@ -100,6 +102,9 @@
     /// Mean of the percentages that load reports stated when the samples were taken.
     usual: f64,
     report: Option<(LoadReport, Time)>,
+    /// Mean of the percentages of all reports. One comes with the head of an answer, and is seldom fresh when
+    /// the attempt has ended.
+    reported: f64,
 }
 
 impl Learned {
@@ -120,6 +125,7 @@
             trials: Trials::new(now),
             usual: 100.0,
             report: None,
+            reported: 100.0,
         }
     }
 
@@ -191,6 +197,8 @@
     pub fn learn(&mut self, now: Time, sample: &Sample) -> bool {
         if let Some((report, age)) = sample.load {
             self.note_report(report, now.saturating_sub(age));
+            let percent = report.percent.map_or(100.0, bounded);
+            self.reported += REPORTED_WEIGHT * (percent - self.reported);
         }
         let seconds = |time: Duration| {
             time.as_secs_f64()
@@ -226,7 +234,7 @@
         self.sampled_at = self.sampled_at.max(now);
         self.samples = self.samples.saturating_add(1);
         self.levels.adjust(&span, at, deviation, idle);
-        let percent = self.fresh_percent(now).unwrap_or(100.0);
+        let percent = self.fresh_percent(now).unwrap_or(self.reported);
         self.usual += USUAL_WEIGHT * (percent - self.usual);
         let is_changed = self.move_limit(now);
         let lower = self.level(f64::from(self.applied.saturating_sub(self.dip())));
@@ -272,7 +280,7 @@
 
     fn fresh_percent(&self, now: Time) -> Option<f64> {
         let (report, at) = self.report?;
-        let percent = f64::from(report.percent?.clamp(1, 10_000));
+        let percent = bounded(report.percent?);
         (now.saturating_sub(at) < HINT_AGE).then_some(percent)
     }
 
@@ -339,3 +347,7 @@
         is_changed
     }
 }
+
+fn bounded(percent: u32) -> f64 {
+    f64::from(percent.clamp(1, 10_000))
+}
--- a/tests/gate_learned.rs
+++ b/tests/gate_learned.rs
@@ -205,6 +205,38 @@
     assert_eq!(model.learned.limit(), limit);
 }
 
+/// Fails if a constant report counts twice, in the learned speed and as a hint, because it is old when the attempt
+/// has ended, or if a report of a short slowdown loses its effect.
+#[test]
+fn learned_old_reports_tell_what_is_usual() {
+    for (slow_in_20, told) in [(20, 95..=105), (3, 150..=200)] {
+        let mut model = Model::new(EVEN);
+        model.run(10.0);
+        let report = |percent| LoadReport {
+            running: SLOTS,
+            waiting: 0,
+            slots: SLOTS,
+            percent: Some(percent),
+        };
+        for i in 0..200 {
+            let percent = if i % 20 < slow_in_20 { 250 } else { 100 };
+            let sample = Sample {
+                first: None,
+                gap: Some(Duration::from_millis(35)),
+                span: Duration::ZERO,
+                age: Duration::ZERO,
+                load: Some((report(percent), Duration::from_secs(1))),
+            };
+            model.now += Duration::from_millis(300);
+            model.learned.learn(model.now, &sample);
+        }
+        model.learned.note_report(report(250), model.now);
+        let hint = model.learned.speed(model.now).expect("a speed").hint;
+        let (percent, _) = hint.expect("a hint");
+        assert!(told.contains(&percent), "{slow_in_20}: {percent}");
+    }
+}
+
 /// A new gate must not begin below the slots, and a change of the slots begins again.
 #[test]
 fn learned_new_gate_starts_from_slots() {
