Allowed regions: requests reach only servers in the regions of their route and workspace

Cause: the field allowed_regions of routes and tenants was ignored, and hosts did not know the regions of failure domains.

The lists are declared::KnownRegions, beside the catalog and with its version, and reach hosts without the store by a message of their own, before the catalog: hosts of an earlier build refuse a longer Catalog. Every choice of a server (first, retry, resumed stream, batch item) goes through Routes::servers_of, which selects by region::Zones::select; the server is checked again before it is sent the request. Invalid lists and empty values are refused with field and value.

--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -4,6 +4,7 @@
 //! is versioned by its source; a host never goes back to a lower version. Hosts that cannot reach the
 //! source fetch newer parts from their peers.
 
+mod regions;
 mod restrictions;
 
 pub use restrictions::{SeenEntry, ServerRestrictions};
@@ -16,6 +17,7 @@
     timeline::Happening,
     wire::Name,
 };
+use regions::KnownRegions;
 use serde::{Deserialize, Serialize};
 use std::{
     io,
@@ -36,6 +38,7 @@
         routes: &[
             Route { port: Port::Peer, method: "POST", path: "/peer/declared", handle: serve },
             Route { port: Port::Peer, method: "POST", path: "/peer/declared/restrictions", handle: restrictions::serve },
+            Route { port: Port::Peer, method: "POST", path: "/peer/declared/regions", handle: regions::serve },
         ],
         tasks: &[Task { name: "declared", every: CHECK_INTERVAL, run: catch_up, waits: true, on: On::Outside }],
         stop: |_| {},
@@ -97,6 +100,7 @@
 pub struct Declared {
     known: Mutex<Known>,
     restrictions: Mutex<ServerRestrictions>,
+    regions: KnownRegions,
 }
 
 #[derive(Debug, Default)]
@@ -274,7 +278,12 @@
         restrictions::catch_up(host, peer);
         let began = host.now();
         match host.call(peer.addr, &call, CALL_TIMEOUT) {
-            Ok(reply) => {
+            Ok(mut reply) => {
+                // Before the catalog, so that no route is known without its list.
+                let newest = reply.catalog.as_ref().map_or(call.catalog, |c| c.at);
+                if !regions::catch_up(host, peer, newest) {
+                    (reply.catalog, reply.catalog_age) = (None, None);
+                }
                 let is_fresh = reply.is_fresh();
                 apply_reply(host, reply, began);
                 is_fresh.then_some(())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod order;
 pub mod pass;
 pub mod quarantine;
+pub mod region;
 pub mod resume;
 pub mod retry;
 pub mod route;
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -62,6 +62,7 @@
     batch: Counter,
     unrelayed: Counter,
     throttled: Counter,
+    out_of_regions: Counter,
     starts_suspected: Counter,
     server_refused: Family<CauseLabel, Counter>,
     first: Histogram,
@@ -111,6 +112,7 @@
             batch: Counter::default(),
             unrelayed: Counter::default(),
             throttled: Counter::default(),
+            out_of_regions: Counter::default(),
             starts_suspected: Counter::default(),
             server_refused: Family::default(),
             first: histogram(),
@@ -144,6 +146,9 @@
         to.register("log_helpless", help, self.unrelayed.clone());
         let help = "Requests and batch items that the limit of a server held back";
         to.register("throttled", help, self.throttled.clone());
+        let help =
+            "Requests and tries of batch items without a server in the regions that they may reach";
+        to.register("out_of_regions", help, self.out_of_regions.clone());
         let help = "Changes of servers to suspected of being cold, after a refused connection or a truncated response";
         to.register("starts_suspected", help, self.starts_suspected.clone());
         let help = "Requests that a server refused without running them";
@@ -255,6 +260,11 @@
         self.throttled.inc();
     }
 
+    /// Counts a request or a try of a batch item without a server in the regions that it may reach.
+    pub fn out_of_regions(&self) {
+        self.out_of_regions.inc();
+    }
+
     /// Counts a refused connection or a truncated response after which a server becomes suspected of being cold.
     pub fn start_suspected(&self) {
         self.starts_suspected.inc();
--- a/src/route/acquire.rs
+++ b/src/route/acquire.rs
@@ -62,7 +62,7 @@
                     pauses += RETRY_PAUSE;
                     continue;
                 }
-                Err(fail) => return Err(fail),
+                Err(fail) => return Err(self.out_of_regions(fail)),
             };
             match self.ask_servers(&ask, &order) {
                 AskResult::Slot(slot) => return Ok(self.note_granted(slot, began)),
@@ -94,7 +94,7 @@
             return Ok(());
         };
         let host = self.host;
-        if host.routes.has_version(host, &self.work.model, version) {
+        if host.routes.has_version(host, self.work, version) {
             return Ok(());
         }
         let (id, last, batch) = (&*self.work.id, self.pos, self.work.class == Class::Batch);
@@ -115,14 +115,8 @@
 
     /// Whether a server that is not usable now may become usable.
     fn may_pause(&self) -> bool {
-        let model = &self.work.model;
-        let host = self.host;
-        self.work.repeatable
-            && host.config.view(|s| {
-                s.servers
-                    .iter()
-                    .any(|s| !s.leaving && s.models.contains(model))
-            })
+        let (host, work) = (self.host, self.work);
+        work.repeatable && host.routes.has_server(host, work)
     }
 
     pub(super) fn next_ask(&mut self) -> SlotRequest {
--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -81,6 +81,11 @@
             let text = "the backend server is leaving and takes no new work";
             return Err(Abort::Failed(Fail::new(Kind::Unreachable, text)));
         }
+        // The list may have changed since the server was chosen.
+        if !host.routes.may_reach(host, self.work, &server) {
+            let text = "the backend server is in no region that the request may reach";
+            return Err(Abort::Failed(Fail::new(Kind::Unreachable, text)));
+        }
         if self.version.as_ref().is_some_and(|v| *v != server.software) {
             let text = "the backend server has another software version than the stream";
             return Err(Abort::Failed(Fail::new(Kind::Unreachable, text)));
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -14,6 +14,7 @@
 mod pace;
 mod passing;
 mod refused;
+mod regions;
 mod silence;
 mod speeds;
 mod state;
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -6,6 +6,7 @@
     leaving::Departures,
     limits::ServerLimits,
     refused::RefusalLog,
+    regions::is_able,
     speeds::Speeds,
     throttled::Throttled,
 };
@@ -158,10 +159,7 @@
         version: Option<&Name>,
         now: Time,
     ) -> Time {
-        let servers = match version {
-            Some(version) => self.servers_with(host, &work.model, version),
-            None => self.servers_for(host, &work.model),
-        };
+        let servers = self.servers_of(host, work, version);
         let usable = servers.iter().filter(|s| !self.departures.has(s));
         self.throttled.earliest(usable.map(|s| &s.name), now)
     }
@@ -220,10 +218,7 @@
         version: Option<&Name>,
         tried: &[Name],
     ) -> Res<Vec<Name>> {
-        let servers = match version {
-            Some(version) => self.servers_with(host, &work.model, version),
-            None => self.servers_for(host, &work.model),
-        };
+        let servers = self.servers_of(host, work, version);
         if servers.is_empty() {
             let text = format!("no server has model \"{}\" loaded", work.model);
             return Err(Fail::new(Kind::Overloaded, text));
@@ -274,7 +269,7 @@
 
     /// The servers for `model`. While one request chooses them again, others use the previous choice;
     /// gates refuse work for leaving servers.
-    fn servers_for(&self, host: &Host, model: &Name) -> Arc<[Server]> {
+    pub(super) fn servers_for(&self, host: &Host, model: &Name) -> Arc<[Server]> {
         let at = host.config.view(|s| s.servers_at);
         let evacuations = self.departures.evacuations();
         let mut known = self.by_model.lock().expect("chosen servers");
@@ -304,34 +299,23 @@
 
     /// The servers for `model` with the software `version`: those among the ones that this host uses, or
     /// all if there is none among them.
-    fn servers_with(&self, host: &Host, model: &Name, version: &Name) -> Arc<[Server]> {
+    pub(super) fn servers_with(&self, host: &Host, model: &Name, version: &Name) -> Arc<[Server]> {
         let used = self.servers_for(host, model);
         let same = used.iter().filter(|s| s.software == *version).cloned();
         let same: Arc<[Server]> = same.collect();
         if !same.is_empty() {
             return same;
         }
-        let is_able = |s: &&Server| serves(s, model, version);
+        let is_able = |s: &&Server| is_able(s, model, Some(version));
         host.config
             .view(|state| state.servers.iter().filter(is_able).cloned().collect())
     }
 
-    /// Whether a server with the software `version` takes work for `model`.
-    pub fn has_version(&self, host: &Host, model: &Name, version: &Name) -> bool {
-        let is_usable = |s: &Server| serves(s, model, version) && !self.departures.has(s);
-        host.config
-            .view(|state| state.servers.iter().any(is_usable))
-    }
-
     pub(super) fn lock(&self) -> MutexGuard<'_, Vec<ServerStats>> {
         self.stats.lock().expect("routing state")
     }
 }
 
-fn serves(server: &Server, model: &Name, version: &Name) -> bool {
-    !server.leaving && server.software == *version && server.models.contains(model)
-}
-
 /// The servers that `host` uses for `model`, sorted by name. Those of evacuated failure domains are among them
 /// only if there are no others.
 fn choose_servers(host: &Host, model: &Name) -> ModelServers {
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,7 +4,9 @@
 
 pub use reader::{Problem, Reader};
 
-use crate::{gate::Reserve, http::Bounds, limit::Tolerance, pass::RESET_WAIT, wire::Name};
+use crate::{
+    gate::Reserve, http::Bounds, limit::Tolerance, pass::RESET_WAIT, region::Zones, wire::Name,
+};
 use std::{net::SocketAddr, time::Duration};
 
 /// Settings that the daemon reads at its start.
@@ -94,6 +96,8 @@
     pub load: Duration,
     /// Whether speeds and concurrency limits of backend servers are learned and used.
     pub learn: bool,
+    /// Regions of failure domains; the section `zones` has a line for each.
+    pub zones: Zones,
     /// Number of events kept for the timeline.
     pub events: usize,
 }
@@ -184,6 +188,7 @@
             loads: r.number("orders", "loads_per_minute", 1, 1_000_000, 600),
             load: r.millis("orders", "load_ms", 100, 86_400_000, 600_000),
             learn: r.number("gate", "learn", 0, 1, 0) == 1,
+            zones: Zones::new(r.table("zones", "a failure domain = its region, not empty")),
             events: r.number("timeline", "events", 100, 10_000_000, 20_000) as usize,
         };
         r.finish(settings)
--- a/src/settings/reader.rs
+++ b/src/settings/reader.rs
@@ -107,6 +107,27 @@
             .unwrap_or_default()
     }
 
+    /// All keys of `section`, names, with their values, which are not empty. A repeated key is a problem.
+    pub fn table(&mut self, section: &str, allowed: &str) -> Vec<(Name, Name)> {
+        let keys = self.ini.section(Some(section));
+        let keys = keys.into_iter().flat_map(|keys| keys.iter());
+        let pairs: Vec<(String, String)> = keys
+            .map(|(key, value)| (key.trim().into(), value.trim().into()))
+            .collect();
+        let mut table = Vec::new();
+        for (key, value) in pairs {
+            let is_new = self.known.insert((section.into(), key.clone()));
+            if is_new && is_name(&key) && !value.is_empty() {
+                table.push((key.into(), value.into()));
+            } else if is_new {
+                self.report(section, &key, &value, allowed);
+            } else {
+                self.report(section, &key, &value, &format!("{allowed}; once"));
+            }
+        }
+        table
+    }
+
     /// A decimal number in `min..=max`; `default` if it is not given.
     pub fn decimal(&mut self, section: &str, key: &str, min: f64, max: f64, default: f64) -> f64 {
         let allowed = format!("a number from {min} to {max}");
--- /dev/null
+++ b/tests/region_select.rs
@@ -0,0 +1,115 @@
+//! Which servers and hosts a request may reach that is limited to regions.
+
+use gooseberrytack::{
+    config::Server,
+    region::{RegionLimits, RouteRegions, WorkspaceRegions, Zones, intersect},
+    wire::Name,
+};
+
+fn names(names: &[&str]) -> Vec<Name> {
+    names.iter().map(|n| Name::from(*n)).collect()
+}
+
+/// `z1` and `z2` are in the region `a`, `z3` is in `b`; `z4` is in none.
+fn zones() -> Zones {
+    let pairs = [("z3", "b"), ("z1", "a"), ("z2", "a")];
+    Zones::new(pairs.map(|(z, r)| (z.into(), r.into())).to_vec())
+}
+
+fn servers() -> Vec<Server> {
+    let server = |n: usize| Server {
+        name: format!("i-{n}").into(),
+        addr: "127.0.0.1:1".parse().expect("address"),
+        domain: format!("z{n}").into(),
+        models: names(&["s"]),
+        slots: 1,
+        fenced: false,
+        leaving: false,
+        start: 0,
+        software: Name::default(),
+    };
+    (1..=4).map(server).collect()
+}
+
+fn selected(allowed: &[&str]) -> Vec<String> {
+    let (zones, servers, allowed) = (zones(), servers(), names(allowed));
+    let selected = zones.select(&servers, &allowed);
+    selected.map(|s| s.name.to_string()).collect()
+}
+
+fn limits() -> RegionLimits {
+    let route = |prefix: &str, regions: &[&str]| RouteRegions {
+        host: "h".into(),
+        prefix: prefix.into(),
+        regions: names(regions),
+    };
+    let workspace = |workspace: &str, regions: &[&str]| WorkspaceRegions {
+        workspace: workspace.into(),
+        regions: names(regions),
+    };
+    RegionLimits {
+        routes: vec![route("/q/", &["a", "b"]), route("/r/", &["c"])],
+        workspaces: vec![workspace("w", &["b", "c"]), workspace("v", &["a"])],
+    }
+}
+
+#[test]
+fn select_only_servers_in_allowed_regions() {
+    // Guards against use of a server whose failure domain has no region.
+    assert_eq!(selected(&["a"]), ["i-1", "i-2"]);
+    assert_eq!(selected(&["b", "unknown"]), ["i-3"]);
+    assert!(selected(&["unknown"]).is_empty());
+    assert!(selected(&[]).is_empty());
+}
+
+#[test]
+fn allowed_route_and_workspace_both_apply() {
+    // Guards against one list replacing the other, and against an empty intersection taken for no limit.
+    let limits = limits();
+    let allowed = |prefix: &str, workspace: &str| limits.allowed(Some(("h", prefix)), workspace);
+    assert_eq!(allowed("/q/", "w"), Some(names(&["b"])));
+    assert_eq!(allowed("/q/", "other"), Some(names(&["a", "b"])));
+    assert_eq!(allowed("/other/", "w"), Some(names(&["b", "c"])));
+    assert_eq!(allowed("/r/", "v"), Some(Vec::new()));
+    assert_eq!(allowed("/other/", "other"), None);
+    assert_eq!(limits.allowed(None, "v"), Some(names(&["a"])));
+    assert_eq!(limits.allowed(Some(("g", "/q/")), ""), None);
+}
+
+#[test]
+fn intersect_none_is_no_limit() {
+    let list = |names_of: &[&str]| Some(names(names_of));
+    assert_eq!(intersect([]), None);
+    assert_eq!(intersect([None, None]), None);
+    assert_eq!(
+        intersect([None, list(&["a", "b"]), list(&["b"])]),
+        list(&["b"])
+    );
+    assert_eq!(intersect([list(&["a"]), None, list(&[])]), list(&[]));
+}
+
+#[test]
+fn may_run_elsewhere_only_without_host_in_allowed_regions() {
+    // Guards against items that never run as no host in their regions could, and against others that take them.
+    let zones = zones();
+    let may_run =
+        |domain: &str, others: &[&str]| zones.may_run(domain, &names(others), &names(&["b"]));
+    assert!(may_run("z3", &["z3", "z1"]));
+    assert!(!may_run("z1", &["z2", "z3"]));
+    assert!(!may_run("z4", &["z3"]));
+    assert!(may_run("z1", &["z2", "z4"]));
+    assert!(may_run("z4", &[]));
+}
+
+#[test]
+fn may_pass_allowed_region_or_that_of_client() {
+    // Guards against bodies passed to hosts elsewhere, also if neither host is in a region.
+    let zones = zones();
+    let may_pass = |to: &str, client: &str| zones.may_pass(to, client, &names(&["b"]));
+    assert!(may_pass("z3", "z1"));
+    assert!(may_pass("z2", "z1"));
+    assert!(!may_pass("z1", "z3"));
+    assert!(!may_pass("z4", "z1"));
+    assert!(!may_pass("z4", "z4"));
+    assert!(may_pass("z3", "z4"));
+}
--- a/tests/settings_parse.rs
+++ b/tests/settings_parse.rs
@@ -1,6 +1,6 @@
 //! The settings parser reports every problem with its line, section and key.
 
-use gooseberrytack::settings::Settings;
+use gooseberrytack::{region::Zones, settings::Settings};
 use std::time::Duration;
 
 const GOOD: &str = "[host]\nname = h1\ndomain = ibadan\n\n[listen]\ncaller = 127.0.0.1:0\n\
@@ -181,3 +181,27 @@
         assert!(found[0].contains("key=contracts"), "{form}: {found:?}");
     }
 }
+
+#[test]
+fn parse_zones_maps_domains_to_regions() {
+    // Guards against a failure domain that silently counts as being in no region.
+    let parse = |lines: &str| Settings::parse("f.ini", &format!("{GOOD}[zones]\n{lines}"));
+    let zones = parse("ibadan = \"sw-nigeria\"\nz-1 = north 2\n")
+        .expect("valid")
+        .zones;
+    assert_eq!(zones.region("ibadan").map(|r| &**r), Some("sw-nigeria"));
+    assert_eq!(zones.region("z-1").map(|r| &**r), Some("north 2"));
+    assert_eq!(zones.region("z-2"), None);
+    assert_eq!(parse("").expect("no zones").zones, Zones::default());
+    for line in [
+        "ibadan =",
+        "ibadan = \"\"",
+        "ibadan = a\nibadan = b",
+        "i badan = a",
+    ] {
+        let found = problems(&format!("{GOOD}[zones]\n{line}\n"));
+        assert_eq!(found.len(), 1, "{line}: {found:?}");
+        assert!(found[0].contains("section=zones"), "{line}: {found:?}");
+        assert!(found[0].contains("badan value=\""), "{line}: {found:?}");
+    }
+}
