Allowed regions: bodies of batch items go to hosts in allowed regions or the client's only

Cause: a host passes a submitted job to any reader of its stream, and without the store appends through any peer.

Change: a job with a list goes only to readers in its regions or in this host's. If none answers, the host follows the stream for 30 s and accepts the job itself: of four failure domains, a stream with three readers has none in one. Appends with pieces of such a job are relayed only by peers in these regions. Readers elsewhere claim its parts only if no reader is in its regions.

The tests of Planner set the new field View::may_claim to true, which keeps what they checked.

--- a/src/batch/accept.rs
+++ b/src/batch/accept.rs
@@ -82,16 +82,28 @@
         let text = "too many uploads are under way at this host; try again";
         Err(Fail::new(Kind::Overloaded, text))
     } else {
-        upload(host, stream, job, &digest)
+        let id: Name = format!("{}.{}.{:016x}", job.id, host.me.name, rand::random::<u64>()).into();
+        let uploads = &host.batch.uploads;
+        let under_way = (id.clone(), job.workspace.clone());
+        uploads.lock().expect("uploads").push(under_way);
+        let result = upload(host, stream, job, &digest, &id);
+        uploads.lock().expect("uploads").retain(|(u, _)| *u != id);
+        result
     };
     host.batch.upload_bytes.fetch_sub(size, Ordering::Relaxed);
     result
 }
 
-fn upload(host: &Host, stream: &Stream, new: &NewJob, digest: &Name) -> Res<Arc<Job>> {
+/// Appends the pieces of the job as the upload `upload`, and then the commit.
+fn upload(
+    host: &Host,
+    stream: &Stream,
+    new: &NewJob,
+    digest: &Name,
+    upload: &Name,
+) -> Res<Arc<Job>> {
     let (id, specs) = (&new.id, &new.specs);
     let end = host.now() + host.settings.deadline;
-    let upload: Name = format!("{id}.{}.{:016x}", host.me.name, rand::random::<u64>()).into();
     let pieces = split_pieces(specs);
     let commit = Record::Commit(Commit {
         job: id.clone(),
@@ -131,7 +143,7 @@
         }
     }
     loop {
-        let missing = match progress(stream, id, digest, &upload, recs.len()) {
+        let missing = match progress(stream, id, digest, upload, recs.len()) {
             Progress::Found(result) => return result,
             Progress::Complete => break,
             Progress::Missing(missing) => missing,
--- a/src/batch/forward.rs
+++ b/src/batch/forward.rs
@@ -10,7 +10,7 @@
     clock::Clock,
     error::{Fail, Kind, Ran, Res},
     kernel::Host,
-    wire::Peer,
+    wire::{Name, Peer},
 };
 use std::{thread, time::Duration};
 
@@ -30,14 +30,35 @@
 /// `NotReady` if no reader can be reached and nothing was done; `Unsettled` if a reader that may have
 /// done it was lost; otherwise the error of the reader.
 pub fn ask(host: &Host, slot: &Slot, op: &JobOp) -> Res<JobReply> {
+    let regions = match op {
+        JobOp::Create(job) => {
+            let declared = &host.declared;
+            declared.regions_of_items(host, &job.workspace, &job.specs)
+        }
+        _ => None,
+    };
+    ask_within(host, slot, op, regions.as_deref())
+}
+
+/// Like [`ask`]; if `regions` is given, only readers in one of these regions or in this host's, which the
+/// caller reached, get the operation.
+///
+/// # Errors
+/// Like [`ask`].
+pub(super) fn ask_within(
+    host: &Host,
+    slot: &Slot,
+    op: &JobOp,
+    regions: Option<&[Name]>,
+) -> Res<JobReply> {
     let reply = match host.batch.streams.enter(slot) {
         Some(stream) => serve::run(host, &stream, slot.answered(), op),
         None => match op {
             JobOp::Create(job) => {
-                let result = forward(host, slot, op);
+                let result = forward(host, slot, op, regions);
                 host.batch.doubts.judge(&job.id, host.now(), result)
             }
-            _ => forward(host, slot, op),
+            _ => forward(host, slot, op, regions),
         },
     }?;
     slot.note_answered(reply.at());
@@ -72,8 +93,9 @@
     Ok(all)
 }
 
-/// Asks the readers in turn until one answers, for the time of the setting `wait`.
-fn forward(host: &Host, slot: &Slot, op: &JobOp) -> Res<JobReply> {
+/// Asks the readers in turn until one answers, for the time of the setting `wait`. If no reader in `regions` answers,
+/// this host follows the stream itself: the few readers may all be elsewhere.
+fn forward(host: &Host, slot: &Slot, op: &JobOp, regions: Option<&[Name]>) -> Res<JobReply> {
     let call = JobCall {
         stream: slot.name.clone(),
         min_pos: slot.answered(),
@@ -84,7 +106,7 @@
     let mut last = None;
     let mut pause = RETRY_PAUSE;
     loop {
-        for peer in peers(host, slot) {
+        for peer in peers(host, slot, regions) {
             let fail = match host.call(peer.addr, &call, op.limit(host)) {
                 Ok(reply) => return Ok(reply),
                 Err(fail) => fail,
@@ -96,6 +118,13 @@
             }
             last = Some((peer.name, fail));
         }
+        if regions.is_some() {
+            slot.need(host.now());
+            if let Some(stream) = host.batch.streams.enter(slot) {
+                let result = serve::run(host, &stream, slot.answered(), op);
+                return result.map_err(|fail| op.judge(fail, doubt));
+            }
+        }
         if host.now() >= end || host.is_dead() {
             let (peer, fail) = last.unzip();
             let error = fail.map(|f: Fail| f.text).unwrap_or_default();
@@ -106,7 +135,12 @@
                 doubt,
                 "no_reader_answers"
             );
-            let text = "no host that reads the job's stream answers; try again";
+            let text = match regions {
+                None => "no host that reads the job's stream answers; try again",
+                Some(_) => {
+                    "no host that reads the job's stream in the allowed regions or the caller's answers; try again"
+                }
+            };
             return Err(op.judge(Fail::new(Kind::NotReady, text), doubt));
         }
         host.clock.sleep(pause);
@@ -114,10 +148,16 @@
     }
 }
 
-/// The readers of a stream without this host; those that do not answer probes come last.
-fn peers(host: &Host, slot: &Slot) -> Vec<Peer> {
+/// The readers of a stream without this host, in `regions` or this host's region if `regions` is given; those that do
+/// not answer probes come last.
+fn peers(host: &Host, slot: &Slot, regions: Option<&[Name]>) -> Vec<Peer> {
     let readers = host.batch.streams.readers(host, slot);
+    let zones = &host.settings.zones;
+    let may_pass = |p: &&Peer| {
+        regions.is_none_or(|regions| zones.may_pass(&p.domain, &host.me.domain, regions))
+    };
     let others = readers.peers().iter().filter(|p| p.name != host.me.name);
+    let others = others.filter(may_pass);
     let mut peers: Vec<Peer> = others.cloned().collect();
     // A random first reader spreads the calls.
     let turn = rand::random::<u32>() as usize % peers.len().max(1);
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -44,11 +44,15 @@
 use crate::{
     batch::doubt::Doubts,
     clock::{SystemClock, Time},
+    fold::decode_frame,
+    job::Record,
     kernel::{Host, RelayLog},
+    region::intersect,
     settings::Settings,
+    wire::Name,
 };
 use std::sync::{
-    Arc,
+    Arc, Mutex,
     atomic::{AtomicUsize, Ordering},
 };
 
@@ -60,6 +64,8 @@
     workers: AtomicUsize,
     /// Bytes of uploads under way.
     upload_bytes: AtomicUsize,
+    /// Uploads under way with the workspaces of their jobs.
+    uploads: Mutex<Vec<(Name, Name)>>,
     /// Jobs that may still be accepted although their submission has failed.
     doubts: Doubts,
 }
@@ -71,6 +77,7 @@
             streams: Streams::new(log, clock, settings),
             workers: AtomicUsize::new(0),
             upload_bytes: AtomicUsize::new(0),
+            uploads: Mutex::default(),
             doubts: Doubts::default(),
         }
     }
@@ -82,6 +89,26 @@
         }
     }
 
+    /// The regions to whose hosts the log record `bytes` of `stream` may be passed; `None` for all hosts. Pieces of
+    /// uploads that are over may only stay in this host's region.
+    pub fn regions_of_frame(&self, host: &Host, stream: &str, bytes: &[u8]) -> Option<Vec<Name>> {
+        if !host.declared.has_region_limits() || self.streams.slot(stream).is_none() {
+            return None;
+        }
+        let uploads = self.uploads.lock().expect("uploads").clone();
+        let records = decode_frame::<Record>(bytes).into_iter();
+        let of_record = |(_, record)| match record {
+            Record::Piece { upload, asks, .. } => {
+                match uploads.iter().find(|(id, _)| *id == upload) {
+                    Some((_, workspace)) => host.declared.regions_of_items(host, workspace, &asks),
+                    None => Some(Vec::new()),
+                }
+            }
+            _ => None,
+        };
+        intersect(records.map(of_record))
+    }
+
     /// Number of worker threads, each of which dispatches one item at a time.
     pub fn workers(&self) -> usize {
         self.workers.load(Ordering::Relaxed)
--- a/src/batch/ownership.rs
+++ b/src/batch/ownership.rs
@@ -7,11 +7,13 @@
 use crate::{
     clock::{Clock, Time},
     fold::{AppendOutcome, Pos},
-    job::{PartRef, Record, State},
+    job::{ItemState, Part, PartRef, Record, State},
     kernel::{Host, On, Plugin, Task},
     lease,
+    member::Ring,
     threads::spawn,
     timeline::Happening,
+    wire::Name,
 };
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -167,6 +169,7 @@
                 let owner = readers.owner(&format!("{}/{}", at.job, at.part));
                 owner.is_none_or(|peer| peer.name == host.me.name)
             },
+            may_claim: |workspace: &Name, part: &Part| may_claim(host, workspace, part, &readers),
             queued: |workspace: &str| {
                 let found = waiting.binary_search_by(|(name, _)| (**name).cmp(workspace));
                 found.map_or(0, |i| waiting[i].1)
@@ -178,6 +181,28 @@
     stream.jobs.view(view)
 }
 
+/// Whether this host may claim `part` of a job of `workspace`: one outside the regions that the part's items may reach
+/// only if no other reader is in them. The next open item stands for all of them, which mostly share a route.
+fn may_claim(host: &Host, workspace: &str, part: &Part, readers: &Ring) -> bool {
+    if !host.declared.has_region_limits() {
+        return true;
+    }
+    let next = part.items.iter().find_map(|item| match &item.state {
+        ItemState::Open { ask, .. } => Some(ask.clone()),
+        ItemState::Ended(_) => None,
+    });
+    let declared = &host.declared;
+    let Some(regions) = declared.regions_of_items(host, workspace, next.as_slice()) else {
+        return true;
+    };
+    let others = readers.peers().iter();
+    // No probes of its own: of a single stream all hosts are readers. Lost ones leave the list of hosts.
+    let others = others.filter(|p| p.name != host.me.name && !host.members.is_down(&p.name));
+    let domains = others.map(|p| &p.domain);
+    let zones = &host.settings.zones;
+    zones.may_run(&host.me.domain, domains, &regions)
+}
+
 fn note_events(host: &Host, stream: &Stream, recs: &[Record], at: Pos) {
     let timeline = &host.timeline;
     for rec in recs {
--- a/src/batch/passed.rs
+++ b/src/batch/passed.rs
@@ -1,7 +1,7 @@
 //! Batch jobs whose items are requests that are passed through to servers unchanged.
 
 use super::{
-    forward::ask,
+    forward::{ask, ask_within},
     message::{ItemPage, JobOp, JobRef, JobReply, NewJob, Quota},
     serve::{self, find},
     stream::Stream,
@@ -12,6 +12,7 @@
     job::ItemSpec,
     kernel::Host,
     pass::{RETRY_ELSEWHERE, Request},
+    region::intersect,
     wire::Name,
 };
 use serde_bytes::ByteBuf;
@@ -39,7 +40,13 @@
         prefix: route.prefix.clone(),
         tokens: route.queued,
     });
-    let result = ask(host, slot, &JobOp::Create(job)).and_then(JobReply::job);
+    let declared = &host.declared;
+    let regions = intersect([
+        declared.regions_of_route(host, &job.workspace, route),
+        declared.regions_of_items(host, &job.workspace, &job.specs),
+    ]);
+    let op = JobOp::Create(job);
+    let result = ask_within(host, slot, &op, regions.as_deref()).and_then(JobReply::job);
     result.map(|_| ()).map_err(|fail| match fail.kind {
         Kind::LogDown => fail.retry_after(RETRY_ELSEWHERE),
         _ => fail,
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -32,7 +32,7 @@
 
 /// Input of one plan.
 #[derive(Debug)]
-pub struct View<'a, G, P, Q> {
+pub struct View<'a, G, P, Q, C> {
     /// Folded state of the stream.
     pub state: &'a State,
     /// Name of this host.
@@ -47,6 +47,8 @@
     pub is_gone: G,
     /// Whether this host is the preferred one for a part.
     pub is_mine: P,
+    /// Whether this host may claim a part of a workspace's job.
+    pub may_claim: C,
     /// Number of a workspace's items that wait at this host.
     pub queued: Q,
 }
@@ -64,11 +66,12 @@
     ///
     /// The number is per workspace, so that a large job does not delay a later one of another
     /// workspace.
-    pub fn plan<G, P, Q>(&mut self, view: &View<'_, G, P, Q>, stock: usize) -> Vec<PartRef>
+    pub fn plan<G, P, Q, C>(&mut self, view: &View<'_, G, P, Q, C>, stock: usize) -> Vec<PartRef>
     where
         G: Fn(&str) -> bool,
         P: Fn(&PartRef) -> bool,
         Q: Fn(&str) -> usize,
+        C: Fn(&Name, &Part) -> bool,
     {
         self.observe(view);
         if !view.is_fresh {
@@ -78,7 +81,7 @@
         choose(candidates, |workspace| (view.queued)(workspace), stock)
     }
 
-    fn observe<G, P, Q>(&mut self, view: &View<'_, G, P, Q>) {
+    fn observe<G, P, Q, C>(&mut self, view: &View<'_, G, P, Q, C>) {
         if !view.is_fresh {
             self.watch.note_lag(view.now);
         }
@@ -88,11 +91,16 @@
         self.watch.retain(|name| view.state.holder(name).is_some());
     }
 
-    fn gather<'a, G, P, Q>(&mut self, view: &View<'a, G, P, Q>, stock: usize) -> Vec<Candidate<'a>>
+    fn gather<'a, G, P, Q, C>(
+        &mut self,
+        view: &View<'a, G, P, Q, C>,
+        stock: usize,
+    ) -> Vec<Candidate<'a>>
     where
         G: Fn(&str) -> bool,
         P: Fn(&PartRef) -> bool,
         Q: Fn(&str) -> usize,
+        C: Fn(&Name, &Part) -> bool,
     {
         let jobs = view.state.jobs.iter();
         let jobs = jobs.filter(|j| j.counts.open > 0 && (view.queued)(&j.workspace) < stock);
@@ -114,10 +122,10 @@
             };
             let since = self.free_since(&at).unwrap_or(view.now);
             let holder = part.holder.as_deref();
-            if holder.is_some_and(|h| is_same_host(h, view.me))
+            let is_due = holder.is_some_and(|h| is_same_host(h, view.me))
                 || (view.is_mine)(&at)
-                || view.now.saturating_sub(since) >= HEAD_START
-            {
+                || view.now.saturating_sub(since) >= HEAD_START;
+            if is_due && (view.may_claim)(&job.workspace, part) {
                 found.push(Candidate {
                     workspace: &job.workspace,
                     at: at.clone(),
@@ -133,7 +141,11 @@
 
     /// Whether the part has no holder, or one that was this host before a restart, is gone, or let
     /// its lease lapse.
-    fn is_free<G: Fn(&str) -> bool, P, Q>(&self, view: &View<'_, G, P, Q>, part: &Part) -> bool {
+    fn is_free<G: Fn(&str) -> bool, P, Q, C>(
+        &self,
+        view: &View<'_, G, P, Q, C>,
+        part: &Part,
+    ) -> bool {
         part.holder.as_ref().is_none_or(|holder| {
             let is_former = is_same_host(holder, view.me);
             **holder != *view.me
--- a/src/batch/readers.rs
+++ b/src/batch/readers.rs
@@ -72,7 +72,7 @@
     }
     for slot in streams.slots() {
         let wanted = streams.readers(host, slot);
-        let wanted = wanted.peer(&host.me.name).is_some();
+        let wanted = wanted.peer(&host.me.name).is_some() || slot.is_needed(host.now());
         place_one(host, slot, wanted);
     }
 }
--- a/src/batch/stream.rs
+++ b/src/batch/stream.rs
@@ -21,6 +21,10 @@
 };
 use twox_hash::XxHash3_64;
 
+/// Time for which a host follows a stream for a job that it may not pass to a reader: long enough to read the stream
+/// to its head while the caller sends the job again.
+const NEED_TIME: Duration = Duration::from_secs(30);
+
 /// All streams of jobs of one host, followed or not. A single stream is followed by every host; of
 /// several, each is followed by a few hosts.
 #[derive(Debug)]
@@ -54,6 +58,8 @@
     answered: AtomicU64,
     /// How long placement has been the same.
     pub(super) placement: Mutex<super::PlacementWatch>,
+    /// When this host last needed the stream although it is no reader of it.
+    needed: Mutex<Option<Time>>,
 }
 
 /// A stream of jobs that this host follows.
@@ -118,6 +124,7 @@
             stream: RwLock::default(),
             answered: AtomicU64::new(0),
             placement: Mutex::default(),
+            needed: Mutex::default(),
         };
         Self {
             slots: (0..settings.streams.max(1)).map(slot).collect(),
@@ -243,6 +250,17 @@
         true
     }
 
+    /// Notes that this host needs the stream for a job that it may not pass to a reader.
+    pub(super) fn need(&self, now: Time) {
+        *self.needed.lock().expect("need") = Some(now);
+    }
+
+    /// Whether this host needed the stream within [`NEED_TIME`].
+    pub(super) fn is_needed(&self, now: Time) -> bool {
+        let needed = *self.needed.lock().expect("need");
+        needed.is_some_and(|at| now.saturating_sub(at) < NEED_TIME)
+    }
+
     /// Lowest position of the state from which the next caller may be answered.
     pub fn answered(&self) -> Pos {
         self.answered.load(Ordering::Relaxed)
--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -263,8 +263,15 @@
             stream: stream.into(),
             bytes: ByteBuf::from(bytes),
         };
+        let regions = host.batch.regions_of_frame(host, stream, bytes);
+        let zones = &host.settings.zones;
         let refused = RefCell::new(None);
         let result = self.ask_paced(host, |peer| {
+            let is_within =
+                |regions: &Vec<Name>| zones.may_pass(&peer.domain, &host.me.domain, regions);
+            if !regions.as_ref().is_none_or(is_within) {
+                return None;
+            }
             match host.call(peer.addr, &call, PEER_TIMEOUT) {
                 Ok(AppendReply::Taken(offset)) => return Some(Ok(offset)),
                 Ok(AppendReply::NotTaken(text)) => {
--- a/tests/batch_decisions.rs
+++ b/tests/batch_decisions.rs
@@ -5,9 +5,9 @@
     clock::Time,
     error::{Fail, Kind},
     fold::{Fold, pos},
-    job::{Commit, ItemSpec, Outcome, PartRef, Record, State},
+    job::{Commit, ItemSpec, Outcome, Part, PartRef, Record, State},
     lease::{Lease, Watch, append_interval, lease_span},
-    wire::Answer,
+    wire::{Answer, Name},
 };
 use std::{sync::Arc, time::Duration};
 
@@ -87,6 +87,7 @@
         span: SPAN,
         is_gone: |_: &str| gone,
         is_mine: |_: &PartRef| mine,
+        may_claim: |_: &Name, _: &Part| true,
         queued: |_: &str| 0,
     };
     planner.plan(&view, 1000)
@@ -211,6 +212,30 @@
     );
 }
 
+#[test]
+fn plan_leaves_parts_that_host_may_not_claim() {
+    // Guards against a claim after the head start of the preferred host, and against other jobs that wait with them.
+    let mut state = State::default();
+    add_job(&mut state, "a", "limited", 4000);
+    add_job(&mut state, "b", "free", 8);
+    let mut planner = Planner::default();
+    for second in [1, 30] {
+        let view = View {
+            state: &state,
+            me: "me",
+            now: at(second),
+            is_fresh: true,
+            span: SPAN,
+            is_gone: |_: &str| false,
+            is_mine: |_: &PartRef| true,
+            may_claim: |workspace: &Name, _: &Part| &**workspace == "free",
+            queued: |_: &str| 0,
+        };
+        let claims = planner.plan(&view, 64);
+        assert!(!claims.is_empty() && claims.iter().all(|c| &*c.job == "b"));
+    }
+}
+
 #[test]
 fn plan_large_job_keeps_no_later_one_waiting() {
     let mut state = State::default();
@@ -224,6 +249,7 @@
         span: SPAN,
         is_gone: |_: &str| false,
         is_mine: |_: &PartRef| true,
+        may_claim: |_: &Name, _: &Part| true,
         queued: |name: &str| if name == "large" { 60 } else { 0 },
     };
     let claims = Planner::default().plan(&view, 64);
