Relayed appends: peers outside the regions count as no tries

The list of regions was checked in the call to each peer, after the limit of 9 tries: eligible peers behind 9 others were never asked, and a record without an eligible peer began a pause and moved the first peer for reads and other appends. Peers are now filtered before the limit, skipped ones are not put on the watch, and without an eligible one nothing changes for later calls.

--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -210,15 +210,21 @@
             wait,
         };
         let timeout = wait + PEER_TIMEOUT;
-        self.ask_paced(host, |peer| host.call(peer.addr, &call, timeout).ok())
+        let ask = |peer: &Peer| host.call(peer.addr, &call, timeout).ok();
+        self.ask_paced(host, |_| true, ask)
     }
 
-    /// Like [`RelayLog::try_peers`], with a pause after each round in which no peer had the log.
-    fn ask_paced<T>(&self, host: &Host, ask: impl Fn(&Peer) -> Option<T>) -> Option<T> {
+    /// Like [`RelayLog::try_eligible`], with a pause after each round in which no peer had the log.
+    fn ask_paced<T>(
+        &self,
+        host: &Host,
+        is_eligible: impl Fn(&Peer) -> bool,
+        ask: impl Fn(&Peer) -> Option<T>,
+    ) -> Option<T> {
         if host.now() < self.state().resume {
             return None;
         }
-        let answer = self.try_peers(host, ask);
+        let answer = self.try_eligible(host, is_eligible, ask)?;
         let mut state = self.state.lock().expect("relay state");
         state.pause = match &answer {
             Some(_) => Duration::ZERO,
@@ -231,24 +237,41 @@
     /// The first answer that `ask` gets from a peer. Begins with the peer that answered last, or with the
     /// one after those that were last tried without success; skips peers that do not answer probes.
     pub fn try_peers<T>(&self, host: &Host, ask: impl Fn(&Peer) -> Option<T>) -> Option<T> {
+        self.try_eligible(host, |_| true, ask).flatten()
+    }
+
+    /// Like [`RelayLog::try_peers`] among the peers for which `is_eligible` holds; the others count as no tries. `None`
+    /// if there are only others: nothing was asked then, and later calls begin with the same peer.
+    pub fn try_eligible<T>(
+        &self,
+        host: &Host,
+        is_eligible: impl Fn(&Peer) -> bool,
+        ask: impl Fn(&Peer) -> Option<T>,
+    ) -> Option<Option<T>> {
         let first = self.state().first;
         let mut peers = host.members.owners(&host.me.name, CANDIDATES + 1);
         peers.retain(|p| p.name != host.me.name);
         let count = peers.len().max(1);
         peers.rotate_left(first % count);
-        for (n, peer) in peers.iter().enumerate().take(TRIES) {
+        let eligible = peers.iter().enumerate().filter(|(_, p)| is_eligible(p));
+        let eligible: Vec<(usize, &Peer)> = eligible.take(TRIES).collect();
+        if eligible.is_empty() && !peers.is_empty() {
+            return None;
+        }
+        for (n, peer) in &eligible {
             if host.members.is_down(&peer.name) {
                 continue;
             }
             host.members.watch(peer, host.now());
             if let Some(answer) = ask(peer) {
                 self.state.lock().expect("relay state").first = (first + n) % count;
-                return Some(answer);
+                return Some(Some(answer));
             }
         }
         host.meters.relay_failed();
-        self.state.lock().expect("relay state").first = (first + TRIES) % count;
-        None
+        let passed = eligible.get(TRIES - 1).map_or(TRIES, |(n, _)| n + 1);
+        self.state.lock().expect("relay state").first = (first + passed) % count;
+        Some(None)
     }
 
     /// Appends through the first peer that can; `None` if none can be reached. Goes on to the next peer if
@@ -266,12 +289,11 @@
         let regions = host.batch.regions_of_frame(host, stream, bytes);
         let zones = &host.settings.zones;
         let refused = RefCell::new(None);
-        let result = self.ask_paced(host, |peer| {
-            let is_within =
-                |regions: &Vec<Name>| zones.may_pass(&peer.domain, &host.me.domain, regions);
-            if !regions.as_ref().is_none_or(is_within) {
-                return None;
-            }
+        let is_eligible = |peer: &Peer| {
+            let is_within = |r: &Vec<Name>| zones.may_pass(&peer.domain, &host.me.domain, r);
+            regions.as_ref().is_none_or(is_within)
+        };
+        let result = self.ask_paced(host, is_eligible, |peer| {
             match host.call(peer.addr, &call, PEER_TIMEOUT) {
                 Ok(AppendReply::Taken(offset)) => return Some(Ok(offset)),
                 Ok(AppendReply::NotTaken(text)) => {
--- a/tests/relay_lost.rs
+++ b/tests/relay_lost.rs
@@ -6,9 +6,11 @@
     kernel::{Edges, Host, neighbours},
     settings::Settings,
     store::{AppendError, Log, Page, SharedLog},
+    wire::Peer,
 };
 use standin::{Harness, Plan, ini, wait_for};
 use std::{
+    cell::RefCell,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -153,6 +155,39 @@
     }
 }
 
+#[test]
+fn try_eligible_asks_only_eligible_peers() {
+    // Guards against skipped peers that count as tries or delay calls to others.
+    let harness = fleet(12);
+    let host = harness.host(0);
+    let ask = |is_eligible: &dyn Fn(&str) -> bool| {
+        let mut asked = RefCell::new(Vec::new());
+        let note = |p: &Peer| {
+            asked.borrow_mut().push(p.name.to_string());
+            None::<()>
+        };
+        let tried = host
+            .relay
+            .try_eligible(host, |p| is_eligible(&p.name), note);
+        assert_eq!(tried.is_none(), asked.get_mut().is_empty());
+        asked.into_inner()
+    };
+    for peer in &harness.hosts()[1..] {
+        assert_eq!(ask(&|name| *name == *peer.me.name), [&*peer.me.name]);
+    }
+    let failures = host.meters.relay_failures();
+    assert!(ask(&|_| false).is_empty());
+    assert_eq!(host.meters.relay_failures(), failures);
+    let mut order = host.members.owners(&host.me.name, 12);
+    order.retain(|p| p.name != host.me.name);
+    let before = ask(&|_| true);
+    assert!(ask(&|_| false).is_empty());
+    // A round without success moves on by the peers that it tried, one without eligible peers by none.
+    let at = |name: &str| order.iter().position(|p| *p.name == *name).expect("a peer");
+    let next = (at(before.last().expect("a peer")) + 1) % order.len();
+    assert_eq!(at(&ask(&|_| true)[0]), next);
+}
+
 #[test]
 fn lost_log_of_all_hosts_makes_no_storm() {
     let harness = fleet(6);
