Servers of limited requests are chosen after the filter by region

A host uses at most 64 servers of a service. They were chosen in the whole fleet and then filtered, so that one server of the subset in the region got all limited requests of the host although others in the region were free. Requests without a list have the same servers as before.

--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -49,14 +49,14 @@
         self.is_within(domain, allowed) || !others.any(|d| self.is_within(d, allowed))
     }
 
-    /// The servers of `servers` that a request may reach that is limited to the regions `allowed`.
+    /// The servers of `servers` that a request may reach that is limited to the regions `allowed`; all if it has no limit.
     pub fn select<'a>(
         &'a self,
         servers: impl IntoIterator<Item = &'a Server>,
-        allowed: &'a [Name],
+        allowed: Option<&'a [Name]>,
     ) -> impl Iterator<Item = &'a Server> {
         let servers = servers.into_iter();
-        servers.filter(move |s| self.is_within(&s.domain, allowed))
+        servers.filter(move |s| allowed.is_none_or(|a| self.is_within(&s.domain, a)))
     }
 }
 
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -29,6 +29,7 @@
 pub use health::{Availability, EJECTION_FAILURES, EJECTION_MAX, EJECTION_MIN, Health, Outcome};
 pub use leaving::Departures;
 pub use limits::{Noted, ServerLimits};
+pub use model_servers::used_servers;
 pub use passing::connect_suggests_restart;
 pub use refused::{RefusalCause, RefusalLog, logged_fields, resend_pause};
 pub use speeds::Speeds;
--- a/src/route/regions.rs
+++ b/src/route/regions.rs
@@ -16,31 +16,20 @@
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl Routes {
-    /// The servers for `work`, only with the software `version` if it is given: those among the ones that this host
-    /// uses, or all if the regions that the work may reach have none among them.
+    /// The servers that this host uses for `work`, in the regions that it may reach and only with the software
+    /// `version` if it is given.
     pub(super) fn servers_of(
         &self,
         host: &Host,
         work: &Work,
         version: Option<&Name>,
     ) -> Arc<[Server]> {
-        let servers = match version {
-            Some(version) => self.servers_with(host, &work.model, version),
-            None => self.servers_for(host, &work.model),
-        };
-        let Some(allowed) = host.declared.regions_of(host, work) else {
-            return servers;
-        };
-        let zones = &host.settings.zones;
-        let within: Arc<[Server]> = zones.select(&*servers, &allowed).cloned().collect();
-        if !within.is_empty() {
-            return within;
+        let allowed = host.declared.regions_of(host, work);
+        let (model, allowed) = (&work.model, allowed.as_deref());
+        match version {
+            Some(version) => self.servers_with(host, model, version, allowed),
+            None => self.servers_for(host, model, allowed),
         }
-        let is_able = |s: &&Server| is_able(s, &work.model, version);
-        host.config.view(|state| {
-            let within = zones.select(&state.servers, &allowed);
-            within.filter(is_able).cloned().collect()
-        })
     }
 
     /// Whether a server with the software `version` that `work` may reach takes it.
@@ -58,9 +47,9 @@
     fn has_able(&self, host: &Host, work: &Work, is_able: impl Fn(&Server) -> bool) -> bool {
         let allowed = host.declared.regions_of(host, work);
         let zones = &host.settings.zones;
-        host.config.view(|state| match &allowed {
-            Some(allowed) => zones.select(&state.servers, allowed).any(is_able),
-            None => state.servers.iter().any(is_able),
+        host.config.view(|state| {
+            let mut within = zones.select(&state.servers, allowed.as_deref());
+            within.any(is_able)
         })
     }
 
--- a/tests/region_select.rs
+++ b/tests/region_select.rs
@@ -3,7 +3,8 @@
 use gooseberrytack::{
     config::Server,
     region::{RegionLimits, RouteRegions, WorkspaceRegions, Zones},
-    wire::Name,
+    route::{SUBSET, used_servers},
+    wire::{Name, Peer},
 };
 
 fn names(names: &[&str]) -> Vec<Name> {
@@ -16,24 +17,28 @@
     Zones::new(pairs.map(|(z, r)| (z.into(), r.into())).to_vec())
 }
 
-fn servers() -> Vec<Server> {
-    let server = |n: usize| Server {
+/// The server `i-N` in the failure domain `zM`.
+fn server(n: usize, m: usize) -> Server {
+    Server {
         name: format!("i-{n}").into(),
         addr: "127.0.0.1:1".parse().expect("address"),
-        domain: format!("z{n}").into(),
+        domain: format!("z{m}").into(),
         models: names(&["s"]),
         slots: 1,
         fenced: false,
         leaving: false,
         start: 0,
         software: Name::default(),
-    };
-    (1..=4).map(server).collect()
+    }
+}
+
+fn servers() -> Vec<Server> {
+    (1..=4).map(|n| server(n, n)).collect()
 }
 
 fn selected(allowed: &[&str]) -> Vec<String> {
     let (zones, servers, allowed) = (zones(), servers(), names(allowed));
-    let selected = zones.select(&servers, &allowed);
+    let selected = zones.select(&servers, Some(&allowed));
     selected.map(|s| s.name.to_string()).collect()
 }
 
@@ -62,6 +67,30 @@
     assert!(selected(&[]).is_empty());
 }
 
+#[test]
+fn used_servers_are_chosen_among_those_in_regions() {
+    // Guards against the few servers of a region in the subset of a host that get all its limited requests.
+    let (zones, count) = (zones(), 20 * SUBSET);
+    // Of 20 servers, one is in the region `b`.
+    let servers: Vec<Server> = (0..count)
+        .map(|n| server(n, if n % 20 == 0 { 3 } else { 1 }))
+        .collect();
+    let me = Peer {
+        name: "h".into(),
+        addr: "127.0.0.1:1".parse().expect("address"),
+        domain: "z1".into(),
+    };
+    let used = |allowed: Option<&[Name]>, evacuated: &str| {
+        let able = zones.select(&servers, allowed);
+        used_servers(&me, able, |s| *s.domain == *evacuated)
+    };
+    let (b, both) = (names(&["b"]), names(&["a", "b"]));
+    assert_eq!(used(Some(&b), "").len(), SUBSET);
+    assert_eq!(used(Some(&b), "z3"), used(Some(&b), ""));
+    assert_eq!(used(None, "z1"), used(Some(&b), ""));
+    assert_eq!(used(Some(&both), ""), used(None, ""));
+}
+
 #[test]
 fn allowed_route_and_workspace_both_apply() {
     // Guards against one list replacing the other, and against an empty intersection taken for no limit.
