Refused requests are not sent again out of their regions

A request that a full server refused is sent again in its slot after a pause, without the check of its regions that the first attempt had. may_resend now checks the list in force, which may have changed meanwhile. Measured: refused_request_is_not_sent_again_out_of_its_regions passes, and fails without the check.

--- a/src/route/refused.rs
+++ b/src/route/refused.rs
@@ -160,8 +160,9 @@
         }
     }
 
-    /// Whether the slot's server may be sent the request again: it is the same as before, takes work, and limits
-    /// no requests, because the gate charged its throttle for one request only.
+    /// Whether the slot's server may be sent the request again: it is the same as before, takes work, is in a
+    /// region that the request may reach, and limits no requests, because the gate charged its throttle for one
+    /// request only.
     fn may_resend(&self, slot: &Slot, attempt: &Attempt) -> bool {
         let (host, now) = (self.host, self.host.now());
         let is_off = host.settings.refused.is_zero();
@@ -179,7 +180,8 @@
         let is_limited = routes.limits.rate(&server).is_some()
             || routes.throttled.has(&server.name, now)
             || host.gates.queues.is_throttled(&server.name);
-        !is_limited && !routes.departures.has(&server)
+        // The list of regions may have changed since the request was sent.
+        !is_limited && !routes.departures.has(&server) && routes.may_reach(host, self.work, &server)
     }
 
     /// Counts a refusal and logs it unless one like it was logged just before; the request was not run.
