Lists of regions are sorted, searched by halves and shared

RegionLimits::allowed scanned the lists of all routes and workspaces and copied those that apply for each request. Only two lists of which neither holds the other need a new one.

--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -91,7 +91,7 @@
 
     /// The regions to whose hosts the log record `bytes` of `stream` may be passed; `None` for all hosts. Pieces of
     /// uploads that are over may only stay in this host's region.
-    pub fn regions_of_frame(&self, host: &Host, stream: &str, bytes: &[u8]) -> Option<Vec<Name>> {
+    pub fn regions_of_frame(&self, host: &Host, stream: &str, bytes: &[u8]) -> Option<Arc<[Name]>> {
         if !host.declared.has_region_limits() || self.streams.slot(stream).is_none() {
             return None;
         }
@@ -101,7 +101,7 @@
             Record::Piece { upload, asks, .. } => {
                 match uploads.iter().find(|(id, _)| *id == upload) {
                     Some((_, workspace)) => host.declared.regions_of_items(host, workspace, &asks),
-                    None => Some(Vec::new()),
+                    None => Some(Arc::default()),
                 }
             }
             _ => None,
--- a/src/declared/regions.rs
+++ b/src/declared/regions.rs
@@ -53,7 +53,7 @@
     }
 
     /// The regions that `work` may reach; `None` for all servers.
-    pub fn regions_of(&self, host: &Host, work: &Work) -> Option<Vec<Name>> {
+    pub fn regions_of(&self, host: &Host, work: &Work) -> Option<Arc<[Name]>> {
         self.allowed(host, |limits, state| {
             allowed_for(limits, state, work.request.as_deref(), &work.workspace)
         })
@@ -65,7 +65,7 @@
         host: &Host,
         workspace: &str,
         specs: &[Arc<ItemSpec>],
-    ) -> Option<Vec<Name>> {
+    ) -> Option<Arc<[Name]>> {
         self.allowed(host, |limits, state| {
             let requests = specs.iter().map(|s| s.request.as_deref());
             intersect(requests.map(|r| allowed_for(limits, state, r, workspace)))
@@ -78,7 +78,7 @@
         host: &Host,
         workspace: &str,
         route: &PassRoute,
-    ) -> Option<Vec<Name>> {
+    ) -> Option<Arc<[Name]>> {
         self.allowed(host, |limits, _| {
             limits.allowed(Some((&route.host, &route.prefix)), workspace)
         })
@@ -87,8 +87,8 @@
     fn allowed(
         &self,
         host: &Host,
-        allowed: impl FnOnce(&RegionLimits, &State) -> Option<Vec<Name>>,
-    ) -> Option<Vec<Name>> {
+        allowed: impl FnOnce(&RegionLimits, &State) -> Option<Arc<[Name]>>,
+    ) -> Option<Arc<[Name]>> {
         if !self.has_region_limits() {
             return None;
         }
@@ -102,7 +102,8 @@
     state: &State,
     request: Option<&Request>,
     workspace: &str,
-) -> Option<Vec<Name>> {
+) -> Option<Arc<[Name]>> {
+    let request = request.filter(|_| !limits.routes.is_empty());
     let route = request.and_then(|r| {
         let path = r.target.split('?').next().unwrap_or("");
         pass_route(state, &r.host, path)
--- a/src/kernel/relay.rs
+++ b/src/kernel/relay.rs
@@ -290,7 +290,7 @@
         let zones = &host.settings.zones;
         let refused = RefCell::new(None);
         let is_eligible = |peer: &Peer| {
-            let is_within = |r: &Vec<Name>| zones.may_pass(&peer.domain, &host.me.domain, r);
+            let is_within = |r: &Arc<[Name]>| zones.may_pass(&peer.domain, &host.me.domain, r);
             regions.as_ref().is_none_or(is_within)
         };
         let result = self.ask_paced(host, is_eligible, |peer| {
--- a/src/region/mod.rs
+++ b/src/region/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::{config::Server, wire::Name};
 use serde::{Deserialize, Serialize};
+use std::{cmp::Ordering, ops::Range, sync::Arc};
 
 /// Regions of failure domains, sorted by failure domain.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -25,9 +26,10 @@
         Some(&self.0[at].1)
     }
 
-    /// Whether `domain` is in one of the regions `allowed`.
+    /// Whether `domain` is in one of the regions `allowed`, sorted by name.
     pub fn is_within(&self, domain: &str, allowed: &[Name]) -> bool {
-        self.region(domain).is_some_and(|r| allowed.contains(r))
+        let region = self.region(domain);
+        region.is_some_and(|r| allowed.binary_search(r).is_ok())
     }
 
     /// Whether a host in `domain` may get the body of a request that reached the fleet at a host in `client`:
@@ -67,8 +69,8 @@
     pub host: Name,
     /// Path prefix of the route.
     pub prefix: Name,
-    /// The regions.
-    pub regions: Vec<Name>,
+    /// The regions, sorted.
+    pub regions: Arc<[Name]>,
 }
 
 /// The regions that a workspace lists.
@@ -76,44 +78,76 @@
 pub struct WorkspaceRegions {
     /// Name of the workspace.
     pub workspace: Name,
-    /// The regions.
-    pub regions: Vec<Name>,
+    /// The regions, sorted.
+    pub regions: Arc<[Name]>,
 }
 
 /// The lists of regions of one configuration; routes and workspaces without a list are not in it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RegionLimits {
-    /// Lists of routes.
+    /// Lists of routes, sorted by host name and prefix.
     pub routes: Vec<RouteRegions>,
-    /// Lists of workspaces.
+    /// Lists of workspaces, sorted by workspace.
     pub workspaces: Vec<WorkspaceRegions>,
 }
 
 impl RegionLimits {
+    /// Sorts the lists, which may be in any order.
+    pub fn new(mut routes: Vec<RouteRegions>, mut workspaces: Vec<WorkspaceRegions>) -> Self {
+        let of_routes = routes.iter_mut().map(|r| &mut r.regions);
+        let of_workspaces = workspaces.iter_mut().map(|w| &mut w.regions);
+        for regions in of_routes.chain(of_workspaces) {
+            let mut sorted = regions.to_vec();
+            sorted.sort();
+            sorted.dedup();
+            *regions = sorted.into();
+        }
+        routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        workspaces.sort_by(|a, b| a.workspace.cmp(&b.workspace));
+        Self { routes, workspaces }
+    }
+
     /// Whether no route and no workspace has a list.
     pub fn is_empty(&self) -> bool {
         self.routes.is_empty() && self.workspaces.is_empty()
     }
 
     /// The regions that a request of `workspace` may reach on the route with this host name and prefix, if it
-    /// has one: those in all lists that apply. `None` if no list applies, so that it may reach all servers.
-    pub fn allowed(&self, route: Option<(&str, &str)>, workspace: &str) -> Option<Vec<Name>> {
-        let is_of_route = |r: &&RouteRegions| route == Some((&*r.host, &*r.prefix));
-        let of_route = self.routes.iter().filter(is_of_route);
-        let of_workspace = self.workspaces.iter();
-        let of_workspace = of_workspace.filter(|w| *w.workspace == *workspace);
-        let lists = of_route
-            .map(|r| &r.regions)
-            .chain(of_workspace.map(|w| &w.regions));
-        intersect(lists.map(|list| Some(list.clone())))
+    /// has one: those in all lists that apply, sorted. `None` if no list applies, so that it may reach all servers.
+    pub fn allowed(&self, route: Option<(&str, &str)>, workspace: &str) -> Option<Arc<[Name]>> {
+        let of_route = route.map_or(0..0, |route| {
+            equal(&self.routes, |r| (&*r.host, &*r.prefix).cmp(&route))
+        });
+        let of_workspace = equal(&self.workspaces, |w| (*w.workspace).cmp(workspace));
+        if of_route.is_empty() && of_workspace.is_empty() {
+            return None;
+        }
+        let of_route = self.routes[of_route].iter().map(|r| &r.regions);
+        let of_workspace = self.workspaces[of_workspace].iter().map(|w| &w.regions);
+        intersect(of_route.chain(of_workspace).map(|list| Some(list.clone())))
     }
 }
 
-/// The regions that are in all of `lists`; a list of `None` allows all regions. `None` if all lists do.
-pub fn intersect(lists: impl IntoIterator<Item = Option<Vec<Name>>>) -> Option<Vec<Name>> {
-    let common = |mut common: Vec<Name>, list: Vec<Name>| {
-        common.retain(|r| list.contains(r));
-        common
+/// The part of `sorted` for which `compare` is equal.
+fn equal<T>(sorted: &[T], compare: impl Fn(&T) -> Ordering) -> Range<usize> {
+    let start = sorted.partition_point(|t| compare(t).is_lt());
+    let count = sorted[start..].partition_point(|t| compare(t).is_eq());
+    start..start + count
+}
+
+/// The regions that are in all of `lists`, which are sorted; a list of `None` allows all regions. `None` if all lists
+/// do. Makes a new list only for two lists of which neither holds the other.
+pub fn intersect(lists: impl IntoIterator<Item = Option<Arc<[Name]>>>) -> Option<Arc<[Name]>> {
+    let common = |a: Arc<[Name]>, b: Arc<[Name]>| {
+        if Arc::ptr_eq(&a, &b) {
+            return a;
+        }
+        let in_both = a.iter().filter(|r| b.binary_search(r).is_ok());
+        match in_both.clone().count() {
+            n if n == a.len() => a,
+            n if n == b.len() => b,
+            _ => in_both.cloned().collect(),
+        }
     };
     lists.into_iter().flatten().reduce(common)
 }
--- a/tests/region_select.rs
+++ b/tests/region_select.rs
@@ -46,16 +46,22 @@
     let route = |prefix: &str, regions: &[&str]| RouteRegions {
         host: "h".into(),
         prefix: prefix.into(),
-        regions: names(regions),
+        regions: names(regions).into(),
     };
     let workspace = |workspace: &str, regions: &[&str]| WorkspaceRegions {
         workspace: workspace.into(),
-        regions: names(regions),
+        regions: names(regions).into(),
     };
-    RegionLimits {
-        routes: vec![route("/q/", &["a", "b"]), route("/r/", &["c"])],
-        workspaces: vec![workspace("w", &["b", "c"]), workspace("v", &["a"])],
-    }
+    let routes = vec![
+        route("/r/", &["c"]),
+        route("/q/", &["b", "a"]),
+        route("/t/", &["d", "b"]),
+        route("/t/", &["c", "b"]),
+    ];
+    RegionLimits::new(
+        routes,
+        vec![workspace("w", &["c", "b"]), workspace("v", &["a"])],
+    )
 }
 
 #[test]
@@ -96,12 +102,15 @@
     // Guards against one list replacing the other, and against an empty intersection taken for no limit.
     let limits = limits();
     let allowed = |prefix: &str, workspace: &str| limits.allowed(Some(("h", prefix)), workspace);
-    assert_eq!(allowed("/q/", "w"), Some(names(&["b"])));
-    assert_eq!(allowed("/q/", "other"), Some(names(&["a", "b"])));
-    assert_eq!(allowed("/other/", "w"), Some(names(&["b", "c"])));
-    assert_eq!(allowed("/r/", "v"), Some(Vec::new()));
+    let some = |regions: &[&str]| Some(names(regions).into());
+    assert_eq!(allowed("/q/", "w"), some(&["b"]));
+    assert_eq!(allowed("/q/", "other"), some(&["a", "b"]));
+    assert_eq!(allowed("/other/", "w"), some(&["b", "c"]));
+    assert_eq!(allowed("/r/", "v"), some(&[]));
+    // Two routes with the same prefix.
+    assert_eq!(allowed("/t/", "other"), some(&["b"]));
     assert_eq!(allowed("/other/", "other"), None);
-    assert_eq!(limits.allowed(None, "v"), Some(names(&["a"])));
+    assert_eq!(limits.allowed(None, "v"), some(&["a"]));
     assert_eq!(limits.allowed(Some(("g", "/q/")), ""), None);
 }
 
