Lists of regions switch together with their catalog

Lists newer than the catalog in force replaced the earlier ones at once, so that requests of the earlier catalog were checked against lists of another. A host now holds the lists for the catalog in force and those for later ones, and looks them up by the version of the catalog. A catalog whose lists a peer does not have is used only if a whole round of peers brought none with its lists, with a log line at info.

--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -7,6 +7,7 @@
 mod regions;
 mod restrictions;
 
+pub use regions::RegionVersions;
 pub use restrictions::{SeenEntry, ServerRestrictions};
 
 use crate::{
@@ -17,9 +18,10 @@
     timeline::Happening,
     wire::Name,
 };
-use regions::KnownRegions;
+use regions::{KnownRegions, Round};
 use serde::{Deserialize, Serialize};
 use std::{
+    cell::RefCell,
     io,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -263,7 +265,8 @@
     if !is_partial && fresh.is_some_and(|f| host.now().saturating_sub(f) < STALE_AGE) {
         return;
     }
-    host.relay.try_peers(host, |peer| {
+    let round = RefCell::new(Round::default());
+    let found = host.relay.try_peers(host, |peer| {
         let known = host.declared.lock();
         let call = DeclaredCall {
             catalog: known.catalog.at,
@@ -276,10 +279,7 @@
         match host.call(peer.addr, &call, CALL_TIMEOUT) {
             Ok(mut reply) => {
                 // Before the catalog, so that no route is known without its list.
-                let newest = reply.catalog.as_ref().map_or(call.catalog, |c| c.at);
-                if !regions::catch_up(host, peer, newest) {
-                    (reply.catalog, reply.catalog_age) = (None, None);
-                }
+                round.borrow_mut().check(host, peer, &mut reply, began);
                 let is_found = reply.is_fresh() && (!is_partial || reply.fleet.is_some());
                 apply_reply(host, reply, began);
                 is_found.then_some(())
@@ -290,6 +290,9 @@
             }
         }
     });
+    if found.is_none() {
+        round.into_inner().end(host);
+    }
 }
 
 fn apply_reply(host: &Host, reply: DeclaredReply, began: Time) {
--- a/tests/region_select.rs
+++ b/tests/region_select.rs
@@ -2,10 +2,12 @@
 
 use gooseberrytack::{
     config::Server,
+    declared::{RegionVersions, Versioned},
     region::{RegionLimits, RouteRegions, WorkspaceRegions, Zones},
     route::{SUBSET, used_servers},
     wire::{Name, Peer},
 };
+use std::sync::Arc;
 
 fn names(names: &[&str]) -> Vec<Name> {
     names.iter().map(|n| Name::from(*n)).collect()
@@ -114,6 +116,26 @@
     assert_eq!(limits.allowed(Some(("g", "/q/")), ""), None);
 }
 
+#[test]
+fn of_catalog_is_its_own_lists() {
+    // Guards against lists that are in force before their catalog, and against earlier ones that replace later ones.
+    let mut versions = RegionVersions::default();
+    let mut update = |at: u64, in_force: u64| {
+        let value = Arc::default();
+        versions.update(Versioned { at, value }, in_force);
+        [4, 5, 6, 7, 9].map(|catalog| versions.of(catalog).map_or(0, |lists| lists.at))
+    };
+    assert_eq!(update(5, 0), [5; 5], "no earlier ones are known");
+    assert_eq!(update(9, 5), [5, 5, 5, 5, 9]);
+    assert_eq!(update(7, 5), [5, 5, 5, 7, 9]);
+    assert_eq!(update(8, 7), [7, 7, 7, 7, 9]);
+    assert_eq!(update(6, 9), [9; 5]);
+    // Lists without a catalog do not add up, nor take the place of those in force.
+    let last = (10..100).map(|at| update(at, 9)).last();
+    assert_eq!(last, Some([9; 5]));
+    assert_eq!(versions.of(99).map(|lists| lists.at), Some(99));
+}
+
 #[test]
 fn may_run_elsewhere_only_without_host_in_allowed_regions() {
     // Guards against items that never run as no host in their regions could, and against others that take them.
