Parts of limited jobs: readers elsewhere wait for the host in the region

If all readers of a stream are outside the regions of a job, a host in them may follow the stream for it. It is not among the readers, so it claimed parts only 0.7 s after the preferred reader, which is elsewhere. It now claims at once, and readers outside the regions 0.7 s later than usual. plan_leaves_parts_that_host_may_not_claim is replaced by plan_limited_parts_by_turn, which has its cases as Turn::Never and checks the other turns; the field may_claim of View is now turn.

--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -34,7 +34,7 @@
     OpenPart, Quota,
 };
 pub use parse::parse_items;
-pub use plan::{Planner, View};
+pub use plan::{Planner, Turn, View};
 pub use quota::is_far_below;
 pub use readers::{PlacementWatch, ReaderState, Step};
 pub use scheduler::{Scheduler, Task};
--- a/src/batch/ownership.rs
+++ b/src/batch/ownership.rs
@@ -1,7 +1,7 @@
 //! Appends this host's records to the streams: claims, renewals, outcomes, releases and ticks.
 
 use super::{
-    SYNC_INTERVAL, View, readers, run,
+    SYNC_INTERVAL, Turn, View, readers, run,
     stream::{Slot, Stream},
 };
 use crate::{
@@ -169,7 +169,7 @@
                 let owner = readers.owner(&format!("{}/{}", at.job, at.part));
                 owner.is_none_or(|peer| peer.name == host.me.name)
             },
-            may_claim: |workspace: &Name, part: &Part| may_claim(host, workspace, part, &readers),
+            turn: |workspace: &Name, part: &Part| turn(host, workspace, part, &readers),
             queued: |workspace: &str| {
                 let found = waiting.binary_search_by(|(name, _)| (**name).cmp(workspace));
                 found.map_or(0, |i| waiting[i].1)
@@ -181,11 +181,12 @@
     stream.jobs.view(view)
 }
 
-/// Whether this host may claim `part` of a job of `workspace`: one outside the regions that the part's items may reach
-/// only if no other reader is in them. The next open item stands for all of them, which mostly share a route.
-fn may_claim(host: &Host, workspace: &str, part: &Part, readers: &Ring) -> bool {
+/// When this host may claim `part` of a job of `workspace`: one outside the regions that the part's items may reach
+/// only if no other reader is in them, and after a host in them that follows the stream for the job. The next open
+/// item stands for all of them, which mostly share a route.
+fn turn(host: &Host, workspace: &str, part: &Part, readers: &Ring) -> Turn {
     if !host.declared.has_region_limits() {
-        return true;
+        return Turn::Usual;
     }
     let next = part.items.iter().find_map(|item| match &item.state {
         ItemState::Open { ask, .. } => Some(ask.clone()),
@@ -193,14 +194,20 @@
     });
     let declared = &host.declared;
     let Some(regions) = declared.regions_of_items(host, workspace, next.as_slice()) else {
-        return true;
+        return Turn::Usual;
     };
     let others = readers.peers().iter();
     // No probes of its own: of a single stream all hosts are readers. Lost ones leave the list of hosts.
     let others = others.filter(|p| p.name != host.me.name && !host.members.is_down(&p.name));
     let domains = others.map(|p| &p.domain);
     let zones = &host.settings.zones;
-    zones.may_run(&host.me.domain, domains, &regions)
+    let is_reader = readers.peer(&host.me.name).is_some();
+    match zones.is_within(&host.me.domain, &regions) {
+        true if is_reader => Turn::Usual,
+        true => Turn::First,
+        false if zones.may_run(&host.me.domain, domains, &regions) => Turn::Last,
+        false => Turn::Never,
+    }
 }
 
 fn note_events(host: &Host, stream: &Stream, recs: &[Record], at: Pos) {
--- a/src/batch/plan.rs
+++ b/src/batch/plan.rs
@@ -30,6 +30,37 @@
     since: Time,
 }
 
+/// When a host may claim the free parts of a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// At once if it is the preferred one, otherwise after its head start.
+    Usual,
+    /// At once: the job is limited to its region, and it is no reader that others could prefer.
+    First,
+    /// One head start later than usual: the job is limited to other regions, which may have a host that follows the
+    /// stream for it.
+    Last,
+    /// Not at all: the job is limited to other regions, which have a reader.
+    Never,
+}
+
+impl Turn {
+    /// How long a part has to be free before a host claims it; `is_mine` is whether the host is the preferred one.
+    /// `None` if it does not.
+    fn wait(self, is_mine: bool) -> Option<Duration> {
+        let usual = match is_mine {
+            true => Duration::ZERO,
+            false => HEAD_START,
+        };
+        match self {
+            Self::Usual => Some(usual),
+            Self::First => Some(Duration::ZERO),
+            Self::Last => Some(HEAD_START + usual),
+            Self::Never => None,
+        }
+    }
+}
+
 /// Input of one plan.
 #[derive(Debug)]
 pub struct View<'a, G, P, Q, C> {
@@ -47,8 +78,8 @@
     pub is_gone: G,
     /// Whether this host is the preferred one for a part.
     pub is_mine: P,
-    /// Whether this host may claim a part of a workspace's job.
-    pub may_claim: C,
+    /// When this host may claim a part of a workspace's job.
+    pub turn: C,
     /// Number of a workspace's items that wait at this host.
     pub queued: Q,
 }
@@ -71,7 +102,7 @@
         G: Fn(&str) -> bool,
         P: Fn(&PartRef) -> bool,
         Q: Fn(&str) -> usize,
-        C: Fn(&Name, &Part) -> bool,
+        C: Fn(&Name, &Part) -> Turn,
     {
         self.observe(view);
         if !view.is_fresh {
@@ -100,7 +131,7 @@
         G: Fn(&str) -> bool,
         P: Fn(&PartRef) -> bool,
         Q: Fn(&str) -> usize,
-        C: Fn(&Name, &Part) -> bool,
+        C: Fn(&Name, &Part) -> Turn,
     {
         let jobs = view.state.jobs.iter();
         let jobs = jobs.filter(|j| j.counts.open > 0 && (view.queued)(&j.workspace) < stock);
@@ -122,10 +153,9 @@
             };
             let since = self.free_since(&at).unwrap_or(view.now);
             let holder = part.holder.as_deref();
-            let is_due = holder.is_some_and(|h| is_same_host(h, view.me))
-                || (view.is_mine)(&at)
-                || view.now.saturating_sub(since) >= HEAD_START;
-            if is_due && (view.may_claim)(&job.workspace, part) {
+            let is_mine = holder.is_some_and(|h| is_same_host(h, view.me)) || (view.is_mine)(&at);
+            let wait = (view.turn)(&job.workspace, part).wait(is_mine);
+            if wait.is_some_and(|wait| view.now.saturating_sub(since) >= wait) {
                 found.push(Candidate {
                     workspace: &job.workspace,
                     at: at.clone(),
--- a/tests/batch_decisions.rs
+++ b/tests/batch_decisions.rs
@@ -1,7 +1,7 @@
 //! Batch decisions: claims, the next item, and the end of a try. Time is an argument.
 
 use gooseberrytack::{
-    batch::{Planner, Scheduler, TRIES_MAX, Verdict, View, judge},
+    batch::{Planner, Scheduler, TRIES_MAX, Turn, Verdict, View, judge},
     clock::Time,
     error::{Fail, Kind},
     fold::{Fold, pos},
@@ -87,7 +87,7 @@
         span: SPAN,
         is_gone: |_: &str| gone,
         is_mine: |_: &PartRef| mine,
-        may_claim: |_: &Name, _: &Part| true,
+        turn: |_: &Name, _: &Part| Turn::Usual,
         queued: |_: &str| 0,
     };
     planner.plan(&view, 1000)
@@ -213,26 +213,43 @@
 }
 
 #[test]
-fn plan_leaves_parts_that_host_may_not_claim() {
-    // Guards against a claim after the head start of the preferred host, and against other jobs that wait with them.
+fn plan_limited_parts_by_turn() {
+    // Guards against a reader elsewhere that claims parts before the host that follows the stream for their region,
+    // and against other jobs that wait with them.
     let mut state = State::default();
     add_job(&mut state, "a", "limited", 4000);
     add_job(&mut state, "b", "free", 8);
-    let mut planner = Planner::default();
-    for second in [1, 30] {
-        let view = View {
-            state: &state,
-            me: "me",
-            now: at(second),
-            is_fresh: true,
-            span: SPAN,
-            is_gone: |_: &str| false,
-            is_mine: |_: &PartRef| true,
-            may_claim: |workspace: &Name, _: &Part| &**workspace == "free",
-            queued: |_: &str| 0,
-        };
-        let claims = planner.plan(&view, 64);
-        assert!(!claims.is_empty() && claims.iter().all(|c| &*c.job == "b"));
+    let claimed = |turn: Turn, mine: bool| {
+        let mut planner = Planner::default();
+        [10_000, 10_699, 10_700, 11_399, 11_400, 30_000].map(|ms| {
+            let view = View {
+                state: &state,
+                me: "me",
+                now: Time::from_millis(ms),
+                is_fresh: true,
+                span: SPAN,
+                is_gone: |_: &str| false,
+                is_mine: |at: &PartRef| mine || &*at.job == "b",
+                turn: |workspace: &Name, _: &Part| match &**workspace {
+                    "free" => Turn::Usual,
+                    _ => turn,
+                },
+                queued: |_: &str| 0,
+            };
+            let claims = planner.plan(&view, 64);
+            assert!(claims.iter().any(|c| &*c.job == "b"));
+            claims.iter().any(|c| &*c.job == "a")
+        })
+    };
+    let from = |first: usize| [0, 1, 2, 3, 4, 5].map(|n| n >= first);
+    for (turn, mine, others) in [
+        (Turn::Usual, 0, 2),
+        (Turn::First, 0, 0),
+        (Turn::Last, 2, 4),
+        (Turn::Never, 6, 6),
+    ] {
+        assert_eq!(claimed(turn, true), from(mine), "{turn:?}");
+        assert_eq!(claimed(turn, false), from(others), "{turn:?}");
     }
 }
 
@@ -249,7 +266,7 @@
         span: SPAN,
         is_gone: |_: &str| false,
         is_mine: |_: &PartRef| true,
-        may_claim: |_: &Name, _: &Part| true,
+        turn: |_: &Name, _: &Part| Turn::Usual,
         queued: |name: &str| if name == "large" { 60 } else { 0 },
     };
     let claims = Planner::default().plan(&view, 64);
