Records of limited uploads are appended apart from others

A log record holds the records of several jobs. With a piece of a limited upload among them, a host that lost the store could relay it only within the regions, and refused all of them if no peer was there. Records of an upload whose items have a list, its commit included, now get log records of their own; without a list, log records are as before.

--- a/src/batch/accept.rs
+++ b/src/batch/accept.rs
@@ -86,7 +86,14 @@
         let uploads = &host.batch.uploads;
         let under_way = (id.clone(), job.workspace.clone());
         uploads.lock().expect("uploads").push(under_way);
+        // Where the pieces may not be relayed, records of other jobs are not to wait with them.
+        let declared = &host.declared;
+        let regions = declared.regions_of_items(host, &job.workspace, &job.specs);
+        if regions.is_some() {
+            stream.jobs.append_apart(&id);
+        }
         let result = upload(host, stream, job, &digest, &id);
+        stream.jobs.append_together(&id);
         uploads.lock().expect("uploads").retain(|(u, _)| *u != id);
         result
     };
--- a/src/fold/append.rs
+++ b/src/fold/append.rs
@@ -9,6 +9,7 @@
 use crate::{
     clock::Clock,
     store::{AppendError, Log},
+    wire::Name,
 };
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -21,10 +22,21 @@
 const STOP_CHECK: Duration = Duration::from_millis(500);
 
 impl<F: Fold, L: Log + Clone, C: Clock + Clone> Follower<F, L, C> {
+    /// Has records of `group` that are queued from now on appended in log records of their own, which the log may
+    /// refuse without holding back others.
+    pub fn append_apart(&self, group: &Name) {
+        self.apart.lock().expect("groups").push(group.clone());
+    }
+
+    /// Ends [`append_apart`](Self::append_apart).
+    pub fn append_together(&self, group: &Name) {
+        self.apart.lock().expect("groups").retain(|g| g != group);
+    }
+
     /// Queues a record for the next append.
     pub fn submit(&self, rec: &F::Record) -> Ticket {
         let mut queue = self.queue.lock().expect("append queue");
-        let ticket = enqueue::<F>(&mut queue, rec);
+        let ticket = self.enqueue(&mut queue, rec);
         drop(queue);
         self.queued.notify_all();
         ticket
@@ -41,9 +53,9 @@
     ) -> AppendOutcome {
         let mut queue = self.queue.lock().expect("append queue");
         if let Some(first) = first {
-            enqueue::<F>(&mut queue, first);
+            self.enqueue(&mut queue, first);
         }
-        let ticket = enqueue::<F>(&mut queue, rec);
+        let ticket = self.enqueue(&mut queue, rec);
         drop(queue);
         self.queued.notify_all();
         match ticket.wait(limit) {
@@ -98,9 +110,11 @@
             })
             .expect("append queue");
         let mut size = 0;
+        let group = queue.first().and_then(|p| p.apart.clone());
         let count = queue
             .iter()
             .take(FRAME_MAX)
+            .take_while(|p| p.apart == group)
             .take_while(|p| {
                 let fits = size == 0 || size + p.bytes.len() <= FRAME_BYTES_MAX;
                 size += p.bytes.len();
@@ -109,16 +123,20 @@
             .count();
         queue.drain(..count).collect()
     }
-}
 
-fn enqueue<F: Fold>(queue: &mut Vec<Pending>, rec: &F::Record) -> Ticket {
-    let ticket = Ticket::default();
-    match rmp_serde::to_vec(rec) {
-        Ok(bytes) => queue.push(Pending {
-            bytes,
-            ticket: ticket.clone(),
-        }),
-        Err(_) => ticket.set(AppendOutcome::NotTaken),
+    fn enqueue(&self, queue: &mut Vec<Pending>, rec: &F::Record) -> Ticket {
+        let ticket = Ticket::default();
+        let group = F::group(rec);
+        let apart = self.apart.lock().expect("groups");
+        let apart = apart.iter().find(|g| group == Some(&***g)).cloned();
+        match rmp_serde::to_vec(rec) {
+            Ok(bytes) => queue.push(Pending {
+                bytes,
+                ticket: ticket.clone(),
+                apart,
+            }),
+            Err(_) => ticket.set(AppendOutcome::NotTaken),
+        }
+        ticket
     }
-    ticket
 }
--- a/src/fold/follower.rs
+++ b/src/fold/follower.rs
@@ -46,6 +46,8 @@
     advanced: Condvar,
     pub(super) queue: Mutex<Vec<Pending>>,
     pub(super) queued: Condvar,
+    /// Groups whose records are appended apart from others.
+    pub(super) apart: Mutex<Vec<Name>>,
     pub(super) interval: Mutex<Duration>,
     pub(super) stopped: AtomicBool,
 }
@@ -82,6 +84,7 @@
             advanced: Condvar::new(),
             queue: Mutex::default(),
             queued: Condvar::new(),
+            apart: Mutex::default(),
             interval: Mutex::new(interval),
             stopped: AtomicBool::new(false),
         }
--- a/src/fold/frame.rs
+++ b/src/fold/frame.rs
@@ -1,6 +1,7 @@
 //! Encoding of fold records in log records, and the outcome of appends.
 
 use super::Pos;
+use crate::wire::Name;
 use serde::de::DeserializeOwned;
 use serde_bytes::{ByteBuf, Bytes};
 use std::{
@@ -24,6 +25,8 @@
 pub(super) struct Pending {
     pub bytes: Vec<u8>,
     pub ticket: Ticket,
+    /// Group whose records are appended apart from others.
+    pub apart: Option<Name>,
 }
 
 /// Handle to the outcome of a submitted record.
--- a/src/fold/mod.rs
+++ b/src/fold/mod.rs
@@ -47,6 +47,11 @@
     /// Shortest time from one read that found records to the next.
     const READ_PAUSE: Duration = Duration::ZERO;
 
+    /// Group of records that a follower can be told to append apart from others; `None` for a record of none.
+    fn group(_: &Self::Record) -> Option<&str> {
+        None
+    }
+
     /// Applies the record at `at`. Positions increase from call to call.
     fn apply(&mut self, at: Pos, rec: &Self::Record);
 }
--- a/src/job/apply.rs
+++ b/src/job/apply.rs
@@ -14,6 +14,14 @@
     type Record = Record;
     const STREAM: &'static str = "jobs";
 
+    fn group(rec: &Record) -> Option<&str> {
+        match rec {
+            Record::Piece { upload, .. } => Some(upload),
+            Record::Commit(commit) => Some(&commit.upload),
+            _ => None,
+        }
+    }
+
     fn apply(&mut self, at: Pos, rec: &Record) {
         self.at = at;
         match rec {
--- a/tests/fold_settle.rs
+++ b/tests/fold_settle.rs
@@ -4,7 +4,7 @@
 use gooseberrytack::{
     clock::SystemClock,
     error::{Kind, Res},
-    fold::{Fold, Follower, Pos},
+    fold::{AppendOutcome, Fold, Follower, Pos, decode_frame},
     store::{AppendError, Entry, Log, Page},
 };
 use serde::{Deserialize, Serialize};
@@ -108,6 +108,81 @@
     }
 }
 
+/// Numbers of which the odd ones form a group.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Parity;
+
+impl Fold for Parity {
+    type Record = u64;
+    const STREAM: &'static str = "parity";
+
+    fn group(rec: &u64) -> Option<&str> {
+        (rec % 2 == 1).then_some("odd")
+    }
+
+    fn apply(&mut self, _: Pos, _: &u64) {}
+}
+
+/// A log that answers appends only once it is opened, and then refuses those with odd numbers.
+#[derive(Debug, Clone, Default)]
+struct EvenLog {
+    held: HeldLog,
+    frames: Arc<Mutex<Vec<Vec<u64>>>>,
+}
+
+impl Log for EvenLog {
+    fn append(&self, stream: &str, bytes: &[u8]) -> Result<u64, AppendError> {
+        let refused = self.held.append(stream, bytes);
+        let frame = decode_frame::<u64>(bytes).into_iter().map(|(_, n)| n);
+        let frame: Vec<u64> = frame.collect();
+        let has_odd = frame.iter().any(|n| n % 2 == 1);
+        let mut frames = self.frames.lock().expect("frames");
+        frames.push(frame);
+        if has_odd {
+            refused
+        } else {
+            Ok(frames.len() as u64)
+        }
+    }
+
+    fn read(&self, _: &str, _: u64, wait: Duration) -> Res<Page> {
+        thread::sleep(wait);
+        Ok(Page::default())
+    }
+}
+
+#[test]
+fn append_apart_refused_group_holds_back_no_other_records() {
+    // Guards against records that share the fate of a group that may not be relayed.
+    for (is_apart, frames, refused) in [
+        (
+            true,
+            vec![vec![0], vec![1], vec![2, 4], vec![3, 5], vec![6]],
+            3,
+        ),
+        (false, vec![vec![0], vec![1, 2, 4, 3, 5, 6]], 6),
+    ] {
+        let log = EvenLog::default();
+        let follower =
+            Follower::<Parity, _, _>::new(log.clone(), SystemClock::new(), Duration::ZERO);
+        let follower = Arc::new(follower);
+        follower.start();
+        if is_apart {
+            follower.append_apart(&"odd".into());
+        }
+        let first = follower.submit(&0);
+        log.held.wait_begun();
+        let tickets = [1, 2, 4, 3, 5, 6].map(|n| follower.submit(&n));
+        log.held.open();
+        first.wait(Duration::from_secs(60));
+        let outcomes = tickets.map(|t| t.wait(Duration::from_secs(60)));
+        let is_refused = |o: &&AppendOutcome| **o == AppendOutcome::NotTaken;
+        assert_eq!(outcomes.iter().filter(is_refused).count(), refused);
+        follower.stop();
+        assert_eq!(*log.frames.lock().expect("frames"), frames);
+    }
+}
+
 #[test]
 fn settle_record_that_no_waiting_read_hears_of() {
     let log = SilentWaitLog::default();
