Peers are asked for all lists if only later ones are known

A host that knew only lists later than a catalog asked for those after that catalog, and so never got the catalog's own. It now asks for all.

--- a/src/declared/regions.rs
+++ b/src/declared/regions.rs
@@ -195,8 +195,10 @@
     if known.has(catalog) {
         return Lists::Known;
     }
+    // If only later lists are known, the peer may have those of this catalog or earlier ones.
+    let at = Some(known.of(catalog).at).filter(|at| *at < catalog);
     let call = RegionsCall {
-        at: known.of(catalog).at.min(catalog),
+        at: at.unwrap_or_default(),
     };
     match host.call(peer.addr, &call, CALL_TIMEOUT) {
         Ok(reply) => {
