--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -4,8 +4,10 @@
 //! is versioned by its source; a host never goes back to a lower version. Hosts that cannot reach the
 //! source fetch newer parts from their peers.
 
+mod regions;
 mod restrictions;
 
+pub use regions::RegionVersions;
 pub use restrictions::{SeenEntry, ServerRestrictions};
 
 use crate::{
@@ -16,8 +18,10 @@
     timeline::Happening,
     wire::Name,
 };
+use regions::{KnownRegions, Round};
 use serde::{Deserialize, Serialize};
 use std::{
+    cell::RefCell,
     io,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
@@ -36,6 +40,7 @@
         routes: &[
             Route { port: Port::Peer, method: "POST", path: "/peer/declared", handle: serve },
             Route { port: Port::Peer, method: "POST", path: "/peer/declared/restrictions", handle: restrictions::serve },
+            Route { port: Port::Peer, method: "POST", path: "/peer/declared/regions", handle: regions::serve },
         ],
         tasks: &[Task { name: "declared", every: CHECK_INTERVAL, run: catch_up, waits: true, on: On::Outside }],
         stop: |_| {},
@@ -97,6 +102,7 @@
 pub struct Declared {
     known: Mutex<Known>,
     restrictions: Mutex<ServerRestrictions>,
+    regions: KnownRegions,
 }
 
 #[derive(Debug, Default)]
@@ -259,7 +265,8 @@
     if !is_partial && fresh.is_some_and(|f| host.now().saturating_sub(f) < STALE_AGE) {
         return;
     }
-    host.relay.try_peers(host, |peer| {
+    let round = RefCell::new(Round::default());
+    let found = host.relay.try_peers(host, |peer| {
         let known = host.declared.lock();
         let call = DeclaredCall {
             catalog: known.catalog.at,
@@ -270,7 +277,9 @@
         restrictions::catch_up(host, peer);
         let began = host.now();
         match host.call(peer.addr, &call, CALL_TIMEOUT) {
-            Ok(reply) => {
+            Ok(mut reply) => {
+                // Before the catalog, so that no route is known without its list.
+                round.borrow_mut().check(host, peer, &mut reply, began);
                 let is_found = reply.is_fresh() && (!is_partial || reply.fleet.is_some());
                 apply_reply(host, reply, began);
                 is_found.then_some(())
@@ -281,6 +290,9 @@
             }
         }
     });
+    if found.is_none() {
+        round.into_inner().end(host);
+    }
 }
 
 fn apply_reply(host: &Host, reply: DeclaredReply, began: Time) {
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -145,10 +145,7 @@
         version: Option<&Name>,
         now: Time,
     ) -> Time {
-        let servers = match version {
-            Some(version) => self.servers_with(host, &work.model, version),
-            None => self.servers_for(host, &work.model),
-        };
+        let servers = self.servers_of(host, work, version);
         let usable = servers.iter().filter(|s| !self.departures.has(s));
         self.throttled.earliest(usable.map(|s| &s.name), now)
     }
@@ -207,10 +204,7 @@
         version: Option<&Name>,
         tried: &[Name],
     ) -> Res<Vec<Name>> {
-        let servers = match version {
-            Some(version) => self.servers_with(host, &work.model, version),
-            None => self.servers_for(host, &work.model),
-        };
+        let servers = self.servers_of(host, work, version);
         if servers.is_empty() {
             let text = format!("no server has model \"{}\" loaded", work.model);
             return Err(Fail::new(Kind::Overloaded, text));
--- a/tests/batch_decisions.rs
+++ b/tests/batch_decisions.rs
@@ -1,13 +1,13 @@
 //! Batch decisions: claims, the next item, and the end of a try. Time is an argument.
 
 use gooseberrytack::{
-    batch::{Planner, Scheduler, TRIES_MAX, Verdict, View, judge},
+    batch::{Planner, Scheduler, TRIES_MAX, Turn, Verdict, View, judge},
     clock::Time,
     error::{Fail, Kind},
     fold::{Fold, pos},
-    job::{Commit, ItemSpec, Outcome, PartRef, Record, State},
+    job::{Commit, ItemSpec, Outcome, Part, PartRef, Record, State},
     lease::{Lease, Watch, append_interval, lease_span},
-    wire::Answer,
+    wire::{Answer, Name},
 };
 use std::{sync::Arc, time::Duration};
 
@@ -78,6 +78,19 @@
     fresh: bool,
     mine: bool,
     gone: bool,
+) -> Vec<PartRef> {
+    let usual = |_: &Name, _: &Part| Turn::Usual;
+    plan_by(planner, state, now, fresh, mine, gone, usual)
+}
+
+fn plan_by(
+    planner: &mut Planner,
+    state: &State,
+    now: Time,
+    fresh: bool,
+    mine: bool,
+    gone: bool,
+    turn: impl Fn(&Name, &Part) -> Turn,
 ) -> Vec<PartRef> {
     let view = View {
         state,
@@ -87,6 +100,7 @@
         span: SPAN,
         is_gone: |_: &str| gone,
         is_mine: |_: &PartRef| mine,
+        turn,
         queued: |_: &str| 0,
     };
     planner.plan(&view, 1000)
@@ -211,6 +225,38 @@
     );
 }
 
+#[test]
+fn plan_limited_parts_by_turn() {
+    // Guards against a reader elsewhere that claims parts before the host that follows the stream for their region,
+    // and against other jobs that wait with them.
+    let mut state = State::default();
+    add_job(&mut state, "a", "limited", 4000);
+    add_job(&mut state, "b", "free", 8);
+    let claimed = |turn: Turn, mine: bool| {
+        let mut planner = Planner::default();
+        [10_000, 10_699, 10_700, 11_399, 11_400, 30_000].map(|ms| {
+            let turn = |workspace: &Name, _: &Part| match &**workspace {
+                "free" => Turn::First,
+                _ => turn,
+            };
+            let now = Time::from_millis(ms);
+            let claims = plan_by(&mut planner, &state, now, true, mine, false, turn);
+            assert!(claims.iter().any(|c| &*c.job == "b"));
+            claims.iter().any(|c| &*c.job == "a")
+        })
+    };
+    let from = |first: usize| [0, 1, 2, 3, 4, 5].map(|n| n >= first);
+    for (turn, mine, others) in [
+        (Turn::Usual, 0, 2),
+        (Turn::First, 0, 0),
+        (Turn::Last, 2, 4),
+        (Turn::Never, 6, 6),
+    ] {
+        assert_eq!(claimed(turn, true), from(mine), "{turn:?}");
+        assert_eq!(claimed(turn, false), from(others), "{turn:?}");
+    }
+}
+
 #[test]
 fn plan_large_job_keeps_no_later_one_waiting() {
     let mut state = State::default();
@@ -224,6 +270,7 @@
         span: SPAN,
         is_gone: |_: &str| false,
         is_mine: |_: &PartRef| true,
+        turn: |_: &Name, _: &Part| Turn::Usual,
         queued: |name: &str| if name == "large" { 60 } else { 0 },
     };
     let claims = Planner::default().plan(&view, 64);
--- a/tests/fold_settle.rs
+++ b/tests/fold_settle.rs
@@ -4,7 +4,7 @@
 use gooseberrytack::{
     clock::SystemClock,
     error::{Kind, Res},
-    fold::{Fold, Follower, Pos},
+    fold::{AppendOutcome, Fold, Follower, Pos, decode_frame},
     store::{AppendError, Entry, Log, Page},
 };
 use serde::{Deserialize, Serialize};
@@ -24,12 +24,17 @@
     type Record = u64;
     const STREAM: &'static str = "nothing";
 
+    fn group(rec: &u64) -> Option<&str> {
+        (rec % 2 == 1).then_some("odd")
+    }
+
     fn apply(&mut self, _: Pos, _: &u64) {}
 }
 
 #[derive(Debug, Default)]
 struct Held {
     begun: usize,
+    frames: Vec<Vec<u64>>,
     is_open: bool,
 }
 
@@ -55,9 +60,11 @@
 }
 
 impl Log for HeldLog {
-    fn append(&self, _: &str, _: &[u8]) -> Result<u64, AppendError> {
+    fn append(&self, _: &str, bytes: &[u8]) -> Result<u64, AppendError> {
         let mut held = self.0.0.lock().expect("log");
         held.begun += 1;
+        let frame = decode_frame(bytes).into_iter().map(|(_, n)| n);
+        held.frames.push(frame.collect());
         self.0.1.notify_all();
         drop(self.0.1.wait_while(held, |h| !h.is_open).expect("log"));
         Err(AppendError::NotTaken("down".into()))
@@ -108,6 +115,34 @@
     }
 }
 
+#[test]
+fn append_apart_group_shares_no_log_record() {
+    // Guards against records that are refused with those of a group that may not be relayed.
+    for (is_apart, frames) in [
+        (
+            true,
+            vec![vec![0], vec![1], vec![2, 4], vec![3, 5], vec![6]],
+        ),
+        (false, vec![vec![0], vec![1, 2, 4, 3, 5, 6]]),
+    ] {
+        let log = HeldLog::default();
+        let follower = start(&log);
+        if is_apart {
+            follower.append_apart(&"odd".into());
+        }
+        let first = follower.submit(&0);
+        log.wait_begun();
+        let tickets = [1, 2, 4, 3, 5, 6].map(|n| follower.submit(&n));
+        log.open();
+        for ticket in [first].iter().chain(&tickets) {
+            let outcome = ticket.wait(Duration::from_secs(60));
+            assert_eq!(outcome, AppendOutcome::NotTaken);
+        }
+        follower.stop();
+        assert_eq!(log.0.0.lock().expect("log").frames, frames);
+    }
+}
+
 #[test]
 fn settle_record_that_no_waiting_read_hears_of() {
     let log = SilentWaitLog::default();
