--- a/src/gate/learned.rs
+++ b/src/gate/learned.rs
@@ -39,9 +39,9 @@
 const HISTORY: Duration = Duration::from_secs(10);
 const HISTORY_MAX: usize = 512;
 /// Age at which a load report says nothing any more. Noisy neighbours come and go within 600 ms.
-const HINT_AGE: Duration = Duration::from_millis(300);
+pub const HINT_AGE: Duration = Duration::from_millis(300);
 /// Largest factor by which a load report changes the expected time.
-const HINT_MAX: f64 = 2.0;
+pub const HINT_MAX: f64 = 2.0;
 /// Shortest time that is told apart.
 const SHORTEST: Duration = Duration::from_micros(1);
 /// Longest time that a sample counts with.
--- a/src/gate/mod.rs
+++ b/src/gate/mod.rs
@@ -37,7 +37,7 @@
 pub use grant::{Queues, WAIT_MAX};
 pub use headroom::{Headroom, Reserve};
 pub use hold::{Held, Reply, Slot};
-pub use learned::{Learned, Sample, Speed};
+pub use learned::{HINT_AGE, HINT_MAX, Learned, Sample, Speed};
 pub use limit::{Confirmation, PROBE_RATE, Role, SHARED_PART};
 pub use observe::{Observed, ObservedReply, ReleaseObserved, ToldSpeed};
 pub use queue::{QUEUE_MAX, Queue, SETTLE, SLOT_LEASE, WAIT_LEASE};
--- a/src/route/expected.rs
+++ b/src/route/expected.rs
@@ -3,16 +3,12 @@
 //! Addresses online requests that reach slow servers as often as fast ones because the servers are
 //! compared by requests for each slot.
 
-use crate::gate::{Counts, Speed};
+use crate::gate::{Counts, HINT_AGE, HINT_MAX, Speed};
 use std::time::Duration;
 
 /// Added for a server in another failure domain: three round trips of about 3 ms, to connect, to send and
 /// for the first event.
 const FAR_S: f32 = 0.01;
-/// Age from which the percentage of a load report has no effect.
-const HINT_AGE_MS: f32 = 300.0;
-/// Largest factor of a load report.
-const HINT_MAX: f32 = 2.0;
 
 /// What is at a server, as one host knows it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -84,8 +80,9 @@
         return 1.0;
     };
     let age_ms = age.as_millis() as f32 + before as f32;
-    let weight = (1.0 - age_ms / HINT_AGE_MS).max(0.0);
-    let factor = (percent as f32 / 100.0).clamp(1.0 / HINT_MAX, HINT_MAX);
+    let weight = (1.0 - age_ms / HINT_AGE.as_millis() as f32).max(0.0);
+    let most = HINT_MAX as f32;
+    let factor = (percent as f32 / 100.0).clamp(1.0 / most, most);
     1.0 + weight * (factor - 1.0)
 }
 
