--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -81,9 +81,20 @@
 }
 
 impl<T> Versioned<T> {
+    /// Version `at` with the content `value`.
+    pub fn new(at: u64, value: impl Into<Arc<T>>) -> Self {
+        let value = value.into();
+        Self { at, value }
+    }
+
+    /// Whether it has a higher version than `other`.
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        self.at > other.at
+    }
+
     /// Replaces itself with `other` if that is newer; returns whether it was.
     fn update(&mut self, other: Option<Self>) -> bool {
-        let newer = other.filter(|o| o.at > self.at);
+        let newer = other.filter(|o| o.is_newer_than(self));
         let is_newer = newer.is_some();
         if let Some(newer) = newer {
             *self = newer;
--- a/src/declared/regions.rs
+++ b/src/declared/regions.rs
@@ -247,7 +247,7 @@
                 let (catalog, age) = (reply.catalog.take(), reply.catalog_age.take());
                 let is_newer = |c: &Versioned<Catalog>| {
                     let kept = self.unlisted.as_ref();
-                    lists == Lists::Missing && kept.is_none_or(|(kept, ..)| kept.at < c.at)
+                    lists == Lists::Missing && kept.is_none_or(|(kept, ..)| c.is_newer_than(kept))
                 };
                 if let (Some(catalog), Some(age)) = (catalog.filter(is_newer), age) {
                     let fresh = began.saturating_sub(age);
--- a/tests/region_select.rs
+++ b/tests/region_select.rs
@@ -7,7 +7,6 @@
     route::{SUBSET, used_servers},
     wire::{Name, Peer},
 };
-use std::sync::Arc;
 
 fn names(names: &[&str]) -> Vec<Name> {
     names.iter().map(|n| Name::from(*n)).collect()
@@ -121,8 +120,8 @@
     // Guards against lists that are in force before their catalog, and against earlier ones that replace later ones.
     let mut versions = RegionVersions::default();
     let mut update = |at: u64, in_force: u64| {
-        let value = Arc::default();
-        versions.update(Versioned { at, value }, in_force);
+        let update = Versioned::new(at, RegionLimits::default());
+        versions.update(update, in_force);
         [4, 5, 6, 7, 9].map(|catalog| versions.of(catalog).map_or(0, |lists| lists.at))
     };
     assert_eq!(update(5, 0), [5; 5], "no earlier ones are known");
