member::Backoff: one type for hosts that are skipped for a time

gate::Held, the observations of its slots and limit::SilentLenders each had a list of names and end times. The times and the log lines are unchanged. Expired entries are now removed when one is added, no longer at each look-up.

--- a/src/gate/hold.rs
+++ b/src/gate/hold.rs
@@ -14,6 +14,7 @@
     clock::Time,
     error::Res,
     kernel::{Call, Host},
+    member::Backoff,
     share::{HostTags, Tag},
     wire::{Class, Name, Peer},
 };
@@ -42,7 +43,7 @@
     /// What the gates are to be told with the next releases.
     pub(super) observations: Mutex<Observations>,
     /// Hosts that failed to answer within the last `DOWN_TIME`.
-    down: Mutex<Vec<Down>>,
+    down: Mutex<Backoff>,
     /// Service of batch work by workspace.
     shares: Mutex<HostTags>,
 }
@@ -64,12 +65,6 @@
     }
 }
 
-#[derive(Debug)]
-struct Down {
-    name: Name,
-    until: Time,
-}
-
 /// A slot of a backend server, released when dropped.
 #[derive(Debug)]
 pub struct Slot {
@@ -292,17 +287,12 @@
     }
 
     pub(super) fn is_down(&self, name: &str, now: Time) -> bool {
-        let down = self.down.lock().expect("down hosts");
-        down.iter().any(|d| *d.name == *name && d.until > now)
+        self.down.lock().expect("down hosts").contains(name, now)
     }
 
     pub(super) fn mark_down(&self, name: &Name, now: Time) {
         let mut down = self.down.lock().expect("down hosts");
-        down.retain(|d| d.until > now && d.name != *name);
-        down.push(Down {
-            name: name.clone(),
-            until: now + DOWN_TIME,
-        });
+        down.add(name, now, DOWN_TIME);
     }
 }
 
--- a/src/gate/observe.rs
+++ b/src/gate/observe.rs
@@ -17,6 +17,7 @@
     config::Server,
     error::Kind,
     kernel::{Call, Host},
+    member::Backoff,
     pass::LoadReport,
     wire::{Name, Peer},
 };
@@ -99,7 +100,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Observations {
     due: Vec<(Name, Observed)>,
-    unknown: Vec<(Name, Time)>,
+    unknown: Backoff,
 }
 
 impl Held {
@@ -133,9 +134,9 @@
                 Err(fail) => {
                     // Builds answer an unknown path with 404; without a decodable error that is `BadRequest`.
                     if matches!(fail.kind, Kind::NotFound | Kind::BadRequest) {
-                        let until = host.now() + UNKNOWN_TIME;
                         let mut observations = self.observations.lock().expect("observations");
-                        observations.unknown.push((peer.name.clone(), until));
+                        let unknown = &mut observations.unknown;
+                        unknown.add(&peer.name, host.now(), UNKNOWN_TIME);
                     }
                     self.release_only(host, peer, call.slots)
                 }
@@ -157,9 +158,7 @@
         let now = host.now();
         let is_down = self.is_down(&peer.name, now);
         let mut observations = self.observations.lock().expect("observations");
-        observations.unknown.retain(|(_, until)| *until > now);
-        let unknown = &observations.unknown;
-        if is_down || unknown.iter().any(|(name, _)| *name == peer.name) {
+        if is_down || observations.unknown.contains(&peer.name, now) {
             return Vec::new();
         }
         let is_here = |server: &Name| {
--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -158,7 +158,7 @@
             return;
         };
         let is_down = peer.name != host.me.name && host.members.is_down(&peer.name);
-        let mut silent = self.silent.lock().expect("silent lenders");
+        let silent = self.silent.lock().expect("silent lenders");
         if is_down || silent.contains(&peer.name, host.now()) {
             return;
         }
--- a/src/limit/silent.rs
+++ b/src/limit/silent.rs
@@ -1,6 +1,6 @@
 //! Lenders that did not answer a report of used tokens lately.
 
-use crate::{clock::Time, wire::Name};
+use crate::{clock::Time, member::Backoff, wire::Name};
 use std::time::Duration;
 
 /// Time for which a lender that did not answer a report gets none.
@@ -8,18 +8,16 @@
 
 /// Lenders to which no report is sent for now, since each would delay the reports to all others.
 #[derive(Debug, Default)]
-pub struct SilentLenders(Vec<(Name, Time)>);
+pub struct SilentLenders(Backoff);
 
 impl SilentLenders {
     /// Notes that `lender` did not answer a report.
     pub fn note(&mut self, lender: Name, now: Time) {
-        self.0.retain(|(name, _)| *name != lender);
-        self.0.push((lender, now));
+        self.0.add(&lender, now, KEEP);
     }
 
     /// Whether `lender` did not answer a report within the last second.
-    pub fn contains(&mut self, lender: &Name, now: Time) -> bool {
-        self.0.retain(|(_, at)| now < *at + KEEP);
-        self.0.iter().any(|(name, _)| name == lender)
+    pub fn contains(&self, lender: &Name, now: Time) -> bool {
+        self.0.contains(lender, now)
     }
 }
--- a/src/member/mod.rs
+++ b/src/member/mod.rs
@@ -4,12 +4,14 @@
 //! are placed by rendezvous hashing over the live hosts, so that a host that joins or leaves moves
 //! only its own share.
 
+mod backoff;
 mod list;
 mod place;
 mod probe;
 mod reach;
 mod task;
 
+pub use backoff::Backoff;
 pub use list::{ListView, Seen, is_same_host};
 pub use place::Ring;
 pub use probe::{Probe, Probes, Whoami};
