--- a/src/gate/grant.rs
+++ b/src/gate/grant.rs
@@ -286,7 +286,10 @@
     pub(super) fn sweep(&self, host: &Host) {
         self.sync_gates(host);
         for gate in self.all() {
-            if let Some(server) = accepting_server(host, &gate.server) {
+            // Without limits the look-up of the server would have no use.
+            if host.gates.cold.has_limits()
+                && let Some(server) = accepting_server(host, &gate.server)
+            {
                 self.follow_cold(host, &server);
             }
             let mut inner = gate.lock();
