Cuts at the deadline: no failure of the server, no suspicion of a restart

A server stops at the deadline that it was told and closes the connection in the middle of the answer. Hosts took that for a failure: under overload, healthy servers were suspected to have started again, limited as cold, and counted towards ejection, which kept requests waiting until their deadlines.

A connection that ends after the first event and within 100 ms of the deadline now fails the request as expired. Before the first event nothing changes: there a server answers with an error at the deadline.

Ruled out: late entries (new servers were no longer throttled at 14 s) and repeated notices (a suspicion was raised for 165 cuts, all at the deadline).

--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -3,6 +3,7 @@
 use super::{
     attempt::{Abort, Attempt},
     dispatch::{Run, Sink},
+    ending::stopped_at_deadline,
 };
 use crate::{
     clock::Time,
@@ -69,6 +70,16 @@
             Ok(()) => self.read_answer(slot, attempt, request, dialect, &mut conn, entry),
             Err(e) => Err(self.lost(&format!("the request was cut: {e}"), entry.is_ended())),
         };
+        // Before the first event, a server answers with an error at the deadline.
+        if let Err(Abort::Failed(fail)) = &result
+            && fail.kind == Kind::ServerLost
+            && attempt.first.is_some()
+            && (conn.is_truncated() || conn.is_unframed())
+            && self.is_at_deadline()
+        {
+            self.may_have_restarted = false;
+            return Err(stopped_at_deadline());
+        }
         if let Err(Abort::Failed(fail)) = &result
             && matches!(fail.kind, Kind::BrokenAnswer | Kind::ServerLost)
         {
