--- a/src/route/events.rs
+++ b/src/route/events.rs
@@ -3,6 +3,7 @@
 use super::{
     attempt::{Abort, Attempt},
     dispatch::{Run, Sink},
+    ending::stopped_at_deadline,
     passing::{POLL_INTERVAL, broken},
 };
 use crate::{
@@ -75,6 +76,9 @@
             }
             if !more {
                 if events.is_partial() {
+                    if conn.is_unframed() && attempt.first.is_some() && self.is_at_deadline() {
+                        return Err(stopped_at_deadline());
+                    }
                     self.was_partial = true;
                     self.may_have_restarted = conn.is_unframed() && !entry.is_ended();
                     let text = "the answer ended in the middle of an event";
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -74,10 +74,9 @@
         if let Err(Abort::Failed(fail)) = &result
             && fail.kind == Kind::ServerLost
             && attempt.first.is_some()
-            && (conn.is_truncated() || conn.is_unframed())
+            && conn.is_truncated()
             && self.is_at_deadline()
         {
-            self.may_have_restarted = false;
             return Err(stopped_at_deadline());
         }
         if let Err(Abort::Failed(fail)) = &result
