Routes: one check of the age of a server's counts

The same look-up and comparison stood in five places, one of them new. Also uses is_able where servers are chosen, and derives what ask_servers compares once. No change of behaviour; route_*, order_servers, online_priority and the platform's waiting_requests and cold_servers pass.

--- a/src/route/acquire.rs
+++ b/src/route/acquire.rs
@@ -152,12 +152,12 @@
     /// Asks each server in turn for a slot that is free now. Skips servers whose recent counts show none: for
     /// online requests, only those at which others wait.
     pub(super) fn ask_servers(&mut self, ask: &SlotRequest, order: &[Name]) -> AskResult {
+        let is_online = self.work.class == Class::Online;
         let began = self.host.now();
         let end = began + self.wait_end().saturating_sub(began) / ASKING_PART;
         let mut shortest: Option<(f32, &Name)> = None;
         let queue = |c: Counts| (c.waiting + c.backlog) as f32 / c.slots as f32;
         for server in order {
-            let is_online = self.work.class == Class::Online;
             if is_online && shortest.is_some() && self.host.now() >= end {
                 break;
             }
--- a/src/route/assess.rs
+++ b/src/route/assess.rs
@@ -3,7 +3,7 @@
 use super::{
     choose::Candidate,
     expected::Load,
-    state::{COUNTS_AGE, Routes, ServerStats},
+    state::{Routes, ServerStats},
 };
 use crate::{clock::Time, config::Server, wire::Name};
 
@@ -36,10 +36,9 @@
     let mut load = Load::default();
     if let Ok(at) = stats.binary_search_by(|s| s.server.cmp(server)) {
         let known = &stats[at];
-        load.is_known = known.counts_at.is_some_and(|at| at + COUNTS_AGE > now);
-        if load.is_known {
-            load.counts = known.counts;
-        }
+        let recent = known.recent_counts(now);
+        load.is_known = recent.is_some();
+        load.counts = recent.unwrap_or_default();
         load.counts.online = load.counts.online.max(known.online);
     }
     load.counts.slots = slots;
--- a/src/route/model_servers.rs
+++ b/src/route/model_servers.rs
@@ -100,7 +100,7 @@
     let evacuations = departures.evacuations();
     host.config.view(|state| {
         let able = host.settings.zones.select(&state.servers, allowed);
-        let able = able.filter(|s| !s.leaving && s.models.contains(model));
+        let able = able.filter(|s| is_able(s, model, None));
         let names = used_servers(&host.me, able, |s| departures.is_evacuated(s));
         ModelServers {
             model: model.clone(),
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -27,7 +27,7 @@
 };
 
 /// Age from which counts of a gate are no longer used.
-pub(super) const COUNTS_AGE: Duration = Duration::from_secs(1);
+const COUNTS_AGE: Duration = Duration::from_secs(1);
 
 /// Health and load of servers as one host knows them, and its retry budget, for all its requests.
 #[derive(Debug)]
@@ -57,11 +57,19 @@
     pub(super) server: Name,
     /// Online requests of this host at the server.
     pub(super) online: u32,
-    pub(super) counts: Counts,
-    pub(super) counts_at: Option<Time>,
+    counts: Counts,
+    counts_at: Option<Time>,
     health: Health,
 }
 
+impl ServerStats {
+    /// Its counts, if they are recent.
+    pub(super) fn recent_counts(&self, now: Time) -> Option<Counts> {
+        let is_recent = self.counts_at.is_some_and(|at| at + COUNTS_AGE > now);
+        is_recent.then_some(self.counts)
+    }
+}
+
 impl Routes {
     /// State without servers; retries are limited to `percent` of the requests (zero: no retries).
     pub fn new(percent: u64) -> Self {
@@ -128,12 +136,9 @@
     /// The counts of `server` if they are recent and leave no slot free, or if it is throttled.
     pub fn busy_counts(&self, now: Time, server: &Name) -> Option<Counts> {
         let stats = self.lock();
-        let at = stats.binary_search_by(|s| s.server.cmp(server)).ok()?;
-        let (c, at) = (stats[at].counts, stats[at].counts_at);
-        let is_fresh = at.is_some_and(|at| at + COUNTS_AGE > now);
+        let c = recent_counts(&stats, server, now)?;
         let is_full = c.online + c.batch + c.waiting + c.backlog >= c.slots;
-        let is_busy = is_full || self.throttled.has(server, now);
-        (is_fresh && is_busy).then_some(c)
+        (is_full || self.throttled.has(server, now)).then_some(c)
     }
 
     /// The counts of `server` if they are recent, online requests hold all its slots, and others wait for one, so
@@ -141,10 +146,8 @@
     /// hosts.
     pub fn online_full(&self, now: Time, server: &Name) -> Option<Counts> {
         let stats = self.lock();
-        let at = stats.binary_search_by(|s| s.server.cmp(server)).ok()?;
-        let (c, at) = (stats[at].counts, stats[at].counts_at);
-        let is_fresh = at.is_some_and(|at| at + COUNTS_AGE > now);
-        (is_fresh && c.online >= c.slots && c.waiting > 0).then_some(c)
+        let c = recent_counts(&stats, server, now)?;
+        (c.online >= c.slots && c.waiting > 0).then_some(c)
     }
 
     /// Forgets the counts of a server whose gate takes no request.
@@ -295,12 +298,12 @@
 
 /// Whether the recent counts of `server` leave no slot free.
 pub(super) fn is_full(stats: &[ServerStats], server: &Name, now: Time) -> bool {
-    let at = stats.binary_search_by(|s| s.server.cmp(server));
-    at.is_ok_and(|at| {
-        let (c, at) = (stats[at].counts, stats[at].counts_at);
-        let held = c.online.saturating_add(c.batch);
-        at.is_some_and(|at| at + COUNTS_AGE > now) && held >= c.slots
-    })
+    recent_counts(stats, server, now).is_some_and(|c| c.online.saturating_add(c.batch) >= c.slots)
+}
+
+fn recent_counts(stats: &[ServerStats], server: &Name, now: Time) -> Option<Counts> {
+    let at = stats.binary_search_by(|s| s.server.cmp(server)).ok()?;
+    stats[at].recent_counts(now)
 }
 
 fn candidate(stats: &[ServerStats], server: &Server, is_near: bool, now: Time) -> Candidate {
@@ -320,17 +323,12 @@
     };
     let known = &stats[at];
     candidate.availability = known.health.availability(now);
-    let is_fresh = known.counts_at.is_some_and(|at| at + COUNTS_AGE > now);
-    let c = known.counts;
-    let online = if is_fresh {
-        known.online.max(c.online + c.waiting)
-    } else {
-        known.online
-    };
-    candidate.load = online as f32 / slots as f32;
-    if is_fresh {
+    let mut online = known.online;
+    if let Some(c) = known.recent_counts(now) {
+        online = online.max(c.online + c.waiting);
         candidate.spare = spare(slots, c);
     }
+    candidate.load = online as f32 / slots as f32;
     candidate
 }
 
