Batch items: not sent under a configuration older than their job

Cause: batch::run::target_of took the route from whatever configuration the host had. The rule holds for items at all hosts, so the time that the way through peers takes is not excused.

Change: Host::check_current: an item is sent only if the configuration was current (2 s) at the first dispatch of its part here or later. The host waits meanwhile; the log line is item_waits_for_configuration. Hosts that read the store, and items whose part was taken up before an outage, are not held back.

--- a/src/batch/run.rs
+++ b/src/batch/run.rs
@@ -27,7 +27,7 @@
 /// Pause before an item whose announcement failed is dispatched again.
 const ANNOUNCE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Pause before an item is tried again whose route or model this host does not know yet.
+/// Pause before an item is tried again at a host that is behind the configuration.
 const CONFIG_PAUSE: Duration = Duration::from_millis(250);
 
 /// Stops the work on an item when the host gives up its part, or preempts the item.
@@ -185,10 +185,18 @@
 }
 
 /// What servers for the item must offer: its model, or the present target of its route.
+///
+/// # Errors
+/// `NotReady` if the configuration may be older than the job, or `NotFound`.
 fn target_of(host: &Host, task: &Task) -> Res<Name> {
     let Some(request) = &task.spec.request else {
         return Ok(task.spec.model.clone());
     };
+    if let Err(fail) = host.check_current(task.since) {
+        let (item, revision) = (item_id(task), host.config.view(|s| s.revision));
+        tracing::info!(item, revision, "item_waits_for_configuration");
+        return Err(fail.retry_after(CONFIG_PAUSE));
+    }
     let path = request.target.split('?').next().unwrap_or("");
     let route = host
         .config
--- a/src/kernel/absent.rs
+++ b/src/kernel/absent.rs
@@ -3,12 +3,12 @@
 use super::Host;
 use crate::{
     clock::Time,
-    error::{Fail, Kind},
+    error::{Fail, Kind, Res},
 };
 use std::time::Duration;
 
-/// Age of the configuration up to which a request's missing key, route or model counts as gone. A host
-/// that reads the configuration is within it; one that is behind is not.
+/// Age up to which the configuration counts as current. A host that reads the configuration is within it; one that is
+/// behind is not.
 const CURRENT_AGE: Duration = Duration::from_secs(2);
 
 impl Host {
@@ -18,6 +18,19 @@
         self.absent_since(self.now().saturating_sub(CURRENT_AGE), fail)
     }
 
+    /// Checks that the configuration was current at `since` or later.
+    ///
+    /// # Errors
+    /// `NotReady` if this host was behind at that time and still is.
+    pub fn check_current(&self, since: Time) -> Res<()> {
+        let fresh = self.config.progress().caught_up;
+        if fresh.is_some_and(|f| f + CURRENT_AGE >= since) {
+            return Ok(());
+        }
+        let text = "this host is behind the configuration";
+        Err(Fail::new(Kind::NotReady, text))
+    }
+
     /// The error for an object that existed by `since` and that the configuration lacks: `fail` if the
     /// configuration was read at its source at `since` or later, otherwise `NotReady`.
     pub fn absent_since(&self, since: Time, fail: Fail) -> Fail {
