HTTP client: a new connection after a call without an answer

Seen by callers: after open connections had gone silent, a host took seconds to read a change or the log, since each retry waited for its whole time limit on another kept connection that was silent too (2 s a read of the store, 0.5 s a call to a peer).

Cause: the pool of an address keeps its other connections when a call on one of them gets no answer.

Change: a call that fails after 400 ms or more drops the kept connections to its address; calls in progress go on.

Evidence: call_after_timeout_uses_new_connection failed before: with three silent connections the second call waited for 30 s.

--- a/src/http/agents.rs
+++ b/src/http/agents.rs
@@ -63,4 +63,10 @@
         entry.used = now;
         entry.agent.clone()
     }
+
+    /// Drops the kept connections to `addr`; calls in progress go on.
+    pub(super) fn forget(&self, addr: SocketAddr) {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        inner.agents.remove(&addr);
+    }
 }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -9,7 +9,7 @@
     io::{self, BufRead, BufReader, Read},
     net::SocketAddr,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 use ureq::{
     Agent, Body, BodyReader,
@@ -26,6 +26,8 @@
 const REPLY_MAX: u64 = 64 << 20;
 /// Default for the most bytes of all answers that are being read.
 const REPLIES_MAX: usize = 256 << 20;
+/// Duration of a failed call from which its address counts as silent.
+const SILENT_TIME: Duration = Duration::from_millis(400);
 /// Most bytes of one read of an answer's body.
 const READ_SIZE: usize = 16 * 1024;
 
@@ -150,7 +152,8 @@
         self.filter.unblock(addr);
     }
 
-    /// Sends a request and reads the whole answer.
+    /// Sends a request and reads the whole answer. After a call that failed for lack of an answer, the next one uses a
+    /// new connection: other kept ones may have gone silent together with that of the call.
     ///
     /// # Errors
     /// No complete answer arrived; `sent` tells whether the server may have received the request.
@@ -165,8 +168,13 @@
         let addr = self.filter.wait(url, limits.connect)?;
         // A URL without an IP address fails in `IpResolver`, before it connects.
         let agent = addr.map_or_else(|| self.fresh.clone(), |a| self.pooled.get(a));
+        let began = Instant::now();
         let response = run(&agent, method, url, fields, body, limits);
-        self.read_whole(addr, response, limits)
+        let reply = self.read_whole(addr, response, limits);
+        if let Some(addr) = addr.filter(|_| reply.is_err() && began.elapsed() >= SILENT_TIME) {
+            self.pooled.forget(addr);
+        }
+        reply
     }
 
     /// Like `call`, on a new connection: on a pooled one that the server just closed, it would be
--- a/tests/http_client.rs
+++ b/tests/http_client.rs
@@ -3,7 +3,13 @@
 
 use gooseberrytack::http::{Bounds, Client, Exchange, Server, Timeouts};
 use std::{
+    io::{BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
     time::Duration,
 };
 
@@ -159,3 +165,67 @@
         standin::wait_for("no connection kept", || server.open() == 0);
     }
 }
+
+/// A server whose connections go silent; those accepted later answer.
+struct SilencingServer {
+    addr: SocketAddr,
+    /// Connections accepted so far; those with a number below `silent` give no answers.
+    accepted: Arc<AtomicUsize>,
+    silent: Arc<AtomicUsize>,
+}
+
+impl SilencingServer {
+    /// Starts a server that answers nobody before `least` connections are open.
+    fn start(least: usize) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
+        let server = Self {
+            addr: listener.local_addr().expect("address"),
+            accepted: Arc::default(),
+            silent: Arc::default(),
+        };
+        let (accepted, silent) = (server.accepted.clone(), server.silent.clone());
+        thread::spawn(move || {
+            for conn in listener.incoming().flatten() {
+                let number = accepted.fetch_add(1, Ordering::SeqCst);
+                let (accepted, silent) = (accepted.clone(), silent.clone());
+                thread::spawn(move || {
+                    let mut lines = BufReader::new(&conn).lines();
+                    while lines.by_ref().flatten().any(|line| line.is_empty()) {
+                        while accepted.load(Ordering::SeqCst) < least
+                            || number < silent.load(Ordering::SeqCst)
+                        {
+                            thread::sleep(Duration::from_millis(1));
+                        }
+                        let _ = (&conn).write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    }
+                });
+            }
+        });
+        server
+    }
+
+    fn url(&self) -> String {
+        format!("http://{}/a", self.addr)
+    }
+}
+
+/// CONFIG: after a connection had gone silent, each further call waited on another kept one that was silent too.
+#[test]
+fn call_after_timeout_uses_new_connection() {
+    const CONNS: usize = 3;
+    let server = SilencingServer::start(CONNS);
+    let client = Client::new();
+    thread::scope(|scope| {
+        for _ in 0..CONNS {
+            scope.spawn(|| client.call("GET", &server.url(), &[], &[], LIMITS));
+        }
+    });
+    server.silent.store(CONNS, Ordering::SeqCst);
+    let limits = Timeouts::within(Duration::from_secs(1));
+    let error = client.call("GET", &server.url(), &[], &[], limits);
+    assert!(error.is_err(), "{error:?}");
+    assert_eq!(server.accepted.load(Ordering::SeqCst), CONNS);
+    let reply = client.call("GET", &server.url(), &[], &[], LIMITS);
+    assert_eq!(reply.map(|r| r.status), Ok(200));
+    assert_eq!(server.accepted.load(Ordering::SeqCst), CONNS + 1);
+}
