--- a/src/declared/mod.rs
+++ b/src/declared/mod.rs
@@ -34,7 +34,7 @@
 /// Timeout of a call to a peer, and of each read of a long answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout of a whole answer with newer parts, which may be large.
-const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1500);
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(5);
 
 inventory::submit! {
     Plugin {
