Hosts cut off from the servers connect through peers

Cause: the only way from a host to a server was its own connection, and a failure to connect was always taken for the server's: each failure ejected one more server until none was left.

Change: module tunnel. A host that fails to connect to two servers in a row, or to one after 0.5 s without a connection, asks a peer to connect to the server. If the peer does, the host counts as cut off: its attempts go through peers until a connection of its own succeeds, tried four times a second. Slots, limits, deadlines, retries, quarantine and resumption stay with the host; only bytes pass through the peer, which closes the server's connection with the host's. One hop: a host that is cut off serves no tunnels, and names peers that do. Frames on the way back tell a close by the server, a reset and the loss of the peer apart, so that no answer without a length looks complete. If peers say that they reach no server either, the request is refused at once with the true reason, and no server is ejected. Log lines: servers_cut_off, servers_reached_again, tunnel_opened, tunnel_not_opened. Metrics: servers_cut, tunnels_opened, tunnels_missed, tunnels_served.

--- a/src/http/exchange.rs
+++ b/src/http/exchange.rs
@@ -222,6 +222,21 @@
         Ok(())
     }
 
+    /// Answers with status 200 and hands the connection over, which then carries no more HTTP.
+    ///
+    /// # Errors
+    /// The connection failed, or another answer has begun, which is cut.
+    pub fn upgrade(&mut self) -> io::Result<Arc<TcpStream>> {
+        if self.is_begun() {
+            self.abort();
+            return Err(io::Error::other("another answer has begun"));
+        }
+        self.state = State::Broken;
+        self.out
+            .write_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n")?;
+        Ok(self.conn.clone())
+    }
+
     /// Closes the connection without the last chunk.
     pub fn abort(&mut self) {
         let _ = self.conn.shutdown(Shutdown::Both);
--- a/src/kernel/call.rs
+++ b/src/kernel/call.rs
@@ -82,10 +82,7 @@
     exchange: &mut Exchange,
     run: impl FnOnce(&Arc<Host>, Q) -> Res<Q::Reply>,
 ) -> io::Result<()> {
-    if let Some(stamp) = exchange.request.field(STAMP).and_then(|v| v.parse().ok()) {
-        host.timeline.observe(stamp);
-    }
-    let result = decode::<Q>(&exchange.request.body).and_then(|call| run(host, call));
+    let result = decode_call::<Q>(host, exchange).and_then(|call| run(host, call));
     let (status, body) = match result.and_then(|reply| encode(&reply)) {
         Ok(body) => (200, body),
         Err(fail) => (fail.kind.row().status, encode(&fail).unwrap_or_default()),
@@ -94,11 +91,22 @@
     exchange.send_with(status, &[(STAMP, &stamp)], &body)
 }
 
-fn encode<T: Serialize>(value: &T) -> Res<Vec<u8>> {
+/// Decodes a call and takes over the sender's logical time.
+///
+/// # Errors
+/// `BadRequest`.
+pub(crate) fn decode_call<Q: Call>(host: &Host, exchange: &Exchange) -> Res<Q> {
+    if let Some(stamp) = exchange.request.field(STAMP).and_then(|v| v.parse().ok()) {
+        host.timeline.observe(stamp);
+    }
+    decode::<Q>(&exchange.request.body)
+}
+
+pub(crate) fn encode<T: Serialize>(value: &T) -> Res<Vec<u8>> {
     rmp_serde::to_vec(value).map_err(|e| Fail::new(Kind::Internal, e.to_string()))
 }
 
-fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Res<T> {
+pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Res<T> {
     rmp_serde::from_slice(bytes)
         .map_err(|e| Fail::new(Kind::BadRequest, format!("not the expected message: {e}")))
 }
--- a/src/kernel/host.rs
+++ b/src/kernel/host.rs
@@ -29,6 +29,7 @@
     snapshot::Snapshots,
     store::{SharedHosts, SharedLog},
     timeline::{Happening, Timeline},
+    tunnel::Tunnels,
     wire::{Name, Peer},
 };
 use cadence::StatsdClient;
@@ -126,6 +127,8 @@
     pub declared: Declared,
     /// Attempts in progress that pass requests on unchanged.
     pub passing: AttemptRegistry,
+    /// Connections to servers through peers.
+    pub tunnels: Tunnels,
     /// Names of the servers' protocol where requests are passed on unchanged, else `None`.
     pub dialect: Option<&'static Dialect>,
     stopping: AtomicBool,
@@ -227,6 +230,7 @@
             control: control.addr(),
             declared: Declared::default(),
             passing: AttemptRegistry::new(slow.clone(), settings.reset_wait),
+            tunnels: Tunnels::default(),
             dialect: outside.map(|o| o.dialect),
             stopping: AtomicBool::new(false),
             ends: OnceLock::new(),
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -14,6 +14,7 @@
 mod time_left;
 
 pub use call::{Call, serve_call};
+pub(crate) use call::{decode, decode_call, encode};
 pub use edges::{Edges, Outside};
 pub use host::{
     CallsFollower, ConfigFollower, Follow, HomesFollower, Host, JobFollower, OriginsFollower,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,4 +37,5 @@
 pub mod store;
 pub mod threads;
 pub mod timeline;
+pub mod tunnel;
 pub mod wire;
--- a/src/metrics/meters.rs
+++ b/src/metrics/meters.rs
@@ -64,6 +64,9 @@
     throttled: Counter,
     out_of_regions: Counter,
     starts_suspected: Counter,
+    tunnels_opened: Counter,
+    tunnels_missed: Counter,
+    tunnels_served: Counter,
     server_refused: Family<CauseLabel, Counter>,
     first: Histogram,
     gap: Histogram,
@@ -81,6 +84,8 @@
     pub requests: Gauge,
     /// 1 if the load balancer may send callers here, else 0.
     pub ready: Gauge,
+    /// 1 if the host is cut off from the backend servers, else 0.
+    pub servers_cut: Gauge,
     /// Streams of jobs that the host follows.
     pub streams: Gauge,
     /// Milliseconds since the configuration's stream was read to its head.
@@ -114,6 +119,9 @@
             throttled: Counter::default(),
             out_of_regions: Counter::default(),
             starts_suspected: Counter::default(),
+            tunnels_opened: Counter::default(),
+            tunnels_missed: Counter::default(),
+            tunnels_served: Counter::default(),
             server_refused: Family::default(),
             first: histogram(),
             gap: histogram(),
@@ -151,6 +159,25 @@
         to.register("out_of_regions", help, self.out_of_regions.clone());
         let help = "Changes of servers to suspected of being cold, after a refused connection or a truncated response";
         to.register("starts_suspected", help, self.starts_suspected.clone());
+        for (name, help, metric) in [
+            (
+                "tunnels_opened",
+                "Connections to servers through peers",
+                &self.tunnels_opened,
+            ),
+            (
+                "tunnels_missed",
+                "Connections to servers that no peer could make",
+                &self.tunnels_missed,
+            ),
+            (
+                "tunnels_served",
+                "Connections to servers for peers",
+                &self.tunnels_served,
+            ),
+        ] {
+            to.register(name, help, metric.clone());
+        }
         let help = "Requests that a server refused without running them";
         to.register("server_refused", help, self.server_refused.clone());
         for (name, help, metric) in [
@@ -170,6 +197,11 @@
             ("connections", "Open connections", &gauges.connections),
             ("requests", "Requests under way", &gauges.requests),
             ("ready", "Whether the host is ready", &gauges.ready),
+            (
+                "servers_cut",
+                "Whether the host is cut off from the servers",
+                &gauges.servers_cut,
+            ),
             ("job_streams", "Streams of jobs followed", &gauges.streams),
             (
                 "config_age_ms",
@@ -270,6 +302,26 @@
         self.starts_suspected.inc();
     }
 
+    /// Counts a connection to a server through a peer.
+    pub fn tunnel_opened(&self) {
+        self.tunnels_opened.inc();
+    }
+
+    /// Counts a connection to a server that no peer could make.
+    pub fn tunnel_missed(&self) {
+        self.tunnels_missed.inc();
+    }
+
+    /// Counts a connection to a server for a peer.
+    pub fn tunnel_served(&self) {
+        self.tunnels_served.inc();
+    }
+
+    /// Number of connections to servers for peers, since the start.
+    pub fn tunnels_served(&self) -> u64 {
+        self.tunnels_served.get()
+    }
+
     /// Number of calls to a lost log that no peer could relay, since the start.
     pub fn relay_failures(&self) -> u64 {
         self.unrelayed.get()
--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -4,7 +4,10 @@
 //! bytes after an answer cannot be taken for part of the next one.
 
 use super::{Body, Framing, Head};
-use crate::http::{SlowReaders, is_status};
+use crate::{
+    http::{SlowReaders, is_status},
+    tunnel::{End, Frames},
+};
 use socket2::SockRef;
 use std::{
     cell::Cell,
@@ -56,6 +59,8 @@
     reset_wait: Duration,
     /// The host's bound for slow readers, if there is one.
     readers: Option<SlowReaders>,
+    /// Decoder of what a peer passes back, if the connection is a tunnel.
+    frames: Option<Frames>,
 }
 
 /// Closes a connection from another thread.
@@ -95,7 +100,14 @@
     /// # Errors
     /// The connection could not be opened; nothing was sent.
     pub fn open(addr: SocketAddr, limit: Duration) -> io::Result<Self> {
-        let stream = TcpStream::connect_timeout(&addr, limit)?;
+        Self::new(TcpStream::connect_timeout(&addr, limit)?)
+    }
+
+    /// Uses the new connection `stream`.
+    ///
+    /// # Errors
+    /// The socket cannot be set up.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(WRITE_TIMEOUT))?;
         Ok(Self {
@@ -111,9 +123,23 @@
             has_body: Cell::new(false),
             reset_wait: RESET_WAIT,
             readers: None,
+            frames: None,
         })
     }
 
+    /// Has the connection carry the request and its answer through a tunnel, after the head with which a peer opened
+    /// it. What arrives from now on is in frames.
+    pub fn begin_tunnel(&mut self) {
+        let early = std::mem::take(&mut self.buffer);
+        let mut frames = Frames::default();
+        frames.feed(&early, &mut self.buffer);
+        self.received = self.buffer.len() as u64;
+        self.interim = 0;
+        self.body = None;
+        self.is_unframed = false;
+        self.frames = Some(frames);
+    }
+
     /// Counts the bytes of the request against the host's bound for slow readers.
     ///
     /// # Errors
@@ -241,22 +267,13 @@
     /// Whether the connection is reset at the end of its input. A server that closes a connection with
     /// unread bytes resets it, also if it ended its output before.
     fn is_reset(&self) -> bool {
-        let socket = SockRef::from(&*self.stream);
-        let wait = if self.has_body.get() {
-            self.reset_wait
-        } else {
-            Duration::ZERO
+        // The peer of a tunnel tells so.
+        let is_tunnel = self.frames.is_some();
+        let wait = match self.has_body.get() {
+            true => self.reset_wait,
+            false => Duration::ZERO,
         };
-        let end = Instant::now() + wait;
-        loop {
-            if !matches!(socket.take_error(), Ok(None)) {
-                return true;
-            }
-            if Instant::now() >= end {
-                return false;
-            }
-            thread::sleep(RESET_CHECK_EVERY);
-        }
+        !is_tunnel && is_reset(&self.stream, wait)
     }
 
     /// Takes the bytes of the body that were already received, without reading from the connection; none if they are
@@ -271,6 +288,36 @@
     }
 
     fn fill(&mut self, limit: Duration) -> Result<usize, ReadError> {
+        let end = Instant::now() + limit;
+        loop {
+            if let Some(end) = self.frames.as_ref().and_then(Frames::end) {
+                return match end {
+                    End::Closed => Ok(0),
+                    End::Reset => {
+                        self.note_failed(ErrorKind::ConnectionReset);
+                        Err(broken("the server reset the connection"))
+                    }
+                };
+            }
+            let read = self.fill_raw(end.saturating_duration_since(Instant::now()))?;
+            match &mut self.frames {
+                None => return Ok(read),
+                Some(_) if read == 0 => return Err(broken("the peer closed the tunnel")),
+                Some(frames) => {
+                    let raw = self.buffer.split_off(self.buffer.len() - read);
+                    let before = self.buffer.len();
+                    frames.feed(&raw, &mut self.buffer);
+                    let size = self.buffer.len() - before;
+                    if size > 0 {
+                        return Ok(size);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Appends what arrives on the connection to the buffer; returns the number of bytes, zero at its end.
+    fn fill_raw(&mut self, limit: Duration) -> Result<usize, ReadError> {
         let limit = limit.max(Duration::from_millis(1));
         let mut bytes = [0; READ_BYTES];
         let read = self
@@ -331,6 +378,21 @@
     }
 }
 
+/// Whether `stream` is reset within `wait` after the end of its input.
+pub fn is_reset(stream: &TcpStream, wait: Duration) -> bool {
+    let socket = SockRef::from(stream);
+    let end = Instant::now() + wait;
+    loop {
+        if !matches!(socket.take_error(), Ok(None)) {
+            return true;
+        }
+        if Instant::now() >= end {
+            return false;
+        }
+        thread::sleep(RESET_CHECK_EVERY);
+    }
+}
+
 /// The head at the start of `bytes` and its length in bytes; `None` if it is incomplete.
 fn parse(bytes: &[u8]) -> Result<Option<(Head, usize)>, ReadError> {
     let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
--- a/src/pass/mod.rs
+++ b/src/pass/mod.rs
@@ -14,12 +14,12 @@
 
 pub use body::{Body, Framing};
 pub use buffer::{Answers, Buffer};
-pub use conn::{Closer, Conn, RESET_WAIT, ReadError};
+pub use conn::{Closer, Conn, RESET_WAIT, ReadError, is_reset};
 pub use events::{Event, Events};
 pub use forward::{
     Access, Arrival, RETRY_ELSEWHERE, authenticate, authorize, forward, note_refusal, send_error,
 };
-pub use registry::{AttemptRegistry, Registration};
+pub use registry::{AttemptRegistry, Cut, Registration};
 pub use sink::is_connection_field;
 
 use crate::wire::Name;
--- a/src/pass/registry.rs
+++ b/src/pass/registry.rs
@@ -6,12 +6,35 @@
     wire::Name,
 };
 use std::{
-    io,
-    net::SocketAddr,
+    io::{self, ErrorKind},
+    net::{SocketAddr, TcpStream},
     sync::{Mutex, MutexGuard},
+    thread,
     time::Duration,
 };
 
+/// How connections to servers fail, for fault injection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// All packets are dropped.
+    Silent,
+    /// Connections are refused.
+    Refused,
+}
+
+impl Cut {
+    /// The error of a connection with the time limit `limit`, after as long as that takes.
+    fn fail(self, limit: Duration) -> io::Error {
+        match self {
+            Self::Silent => {
+                thread::sleep(limit);
+                ErrorKind::TimedOut.into()
+            }
+            Self::Refused => ErrorKind::ConnectionRefused.into(),
+        }
+    }
+}
+
 /// The running attempts, by id.
 #[derive(Debug, Default)]
 pub struct AttemptRegistry {
@@ -23,6 +46,7 @@
     readers: Option<SlowReaders>,
     /// As for [`Conn::set_reset_wait`].
     reset_wait: Option<Duration>,
+    cut: Mutex<Option<Cut>>,
 }
 
 #[derive(Debug)]
@@ -60,7 +84,34 @@
     /// # Errors
     /// As for [`Conn::open`].
     pub fn open(&self, addr: SocketAddr, limit: Duration) -> io::Result<Conn> {
-        let mut conn = Conn::open(addr, limit)?;
+        self.prepare(Conn::new(self.connect(addr, limit)?)?)
+    }
+
+    /// Connects to a peer within `limit`, for a tunnel to a server.
+    ///
+    /// # Errors
+    /// As for [`Conn::open`].
+    pub fn open_peer(&self, addr: SocketAddr, limit: Duration) -> io::Result<Conn> {
+        self.prepare(Conn::open(addr, limit)?)
+    }
+
+    /// A bare connection to a server, opened within `limit`.
+    ///
+    /// # Errors
+    /// As for [`Conn::open`].
+    pub fn connect(&self, addr: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+        if let Some(cut) = *self.cut.lock().expect("cut") {
+            return Err(cut.fail(limit));
+        }
+        TcpStream::connect_timeout(&addr, limit)
+    }
+
+    /// Makes later connections to servers fail; `None` undoes it.
+    pub fn set_cut(&self, cut: Option<Cut>) {
+        *self.cut.lock().expect("cut") = cut;
+    }
+
+    fn prepare(&self, mut conn: Conn) -> io::Result<Conn> {
         if let Some(wait) = self.reset_wait {
             conn.set_reset_wait(wait);
         }
--- a/src/route/health.rs
+++ b/src/route/health.rs
@@ -128,6 +128,13 @@
         self.eject(now, spread);
     }
 
+    /// Takes the server back after failures that were not its own.
+    pub fn readmit(&mut self) {
+        self.failures = 0;
+        self.backoff = EJECTION_MIN;
+        self.state = State::Available;
+    }
+
     fn record_success(&mut self, ttft: f64) -> bool {
         let before = self.state;
         self.failures = 0;
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -9,13 +9,19 @@
     clock::Time,
     error::{Fail, Kind},
     gate::Slot,
-    pass::{AttemptContext, Conn, Dialect, Head, ReadError, Registration, Request, Verdict},
+    pass::{
+        AttemptContext, Conn, Dialect, Head, RETRY_ELSEWHERE, ReadError, Registration, Request,
+        Verdict,
+    },
     quarantine::LostAttempt,
+    tunnel::NoTunnel,
     wire::{Answer, Class},
 };
 use std::{fmt::Write, io::ErrorKind, time::Duration};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause before a batch item is tried again for which there was no path to a server.
+const NO_PATH_PAUSE: Duration = Duration::from_millis(250);
 /// Longest wait for bytes between two checks whether the answer is still wanted.
 pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest body of an answer that is not an event stream.
@@ -38,14 +44,7 @@
             let text = "this host has no dialect for requests that are passed on unchanged";
             return Err(Abort::Final(Fail::new(Kind::Internal, text)));
         };
-        let left = self.work.deadline.saturating_sub(host.now());
-        let limit = CONNECT_TIMEOUT.min(left);
-        let began = host.now();
-        let mut conn = host.passing.open(attempt.addr, limit).map_err(|e| {
-            let took = host.now().saturating_sub(began);
-            self.may_have_restarted = connect_suggests_restart(e.kind(), limit, took);
-            Abort::Failed(Fail::new(Kind::Unreachable, format!("backend server: {e}")))
-        })?;
+        let mut conn = self.connect(slot, attempt)?;
         let entry = match entry {
             Some(entry) => {
                 if !entry.replace(conn.closer()) {
@@ -106,6 +105,52 @@
         result
     }
 
+    /// Connects to the slot's server, through a peer if this host is cut off from the servers.
+    fn connect(&mut self, slot: &Slot, attempt: &Attempt) -> Result<Conn, Abort> {
+        let host = self.host;
+        if host.tunnels.is_cut() {
+            return host
+                .open_tunnel(self.work, &slot.server)
+                .map_err(|none| match none {
+                    NoTunnel::Server(fail) => Abort::Failed(fail),
+                    NoTunnel::NoPath | NoTunnel::NoPeer => self.no_path(),
+                });
+        }
+        let left = self.work.deadline.saturating_sub(host.now());
+        let limit = CONNECT_TIMEOUT.min(left);
+        let began = host.now();
+        let error = match host.passing.open(attempt.addr, limit) {
+            Ok(conn) => {
+                host.note_server_reached();
+                return Ok(conn);
+            }
+            Err(error) => error,
+        };
+        let took = host.now().saturating_sub(began);
+        if host.note_server_failed(&slot.server) {
+            match host.open_tunnel(self.work, &slot.server) {
+                Ok(conn) => return Ok(conn),
+                // Not known to be the server's fault.
+                Err(NoTunnel::NoPath) => return Err(self.no_path()),
+                Err(NoTunnel::NoPeer | NoTunnel::Server(_)) => {}
+            }
+        }
+        self.may_have_restarted = connect_suggests_restart(error.kind(), limit, took);
+        let text = format!("backend server: {error}");
+        Err(Abort::Failed(Fail::new(Kind::Unreachable, text)))
+    }
+
+    /// The end of a request that neither this host nor a peer can send to a server. Another host may serve it.
+    fn no_path(&self) -> Abort {
+        let text = "this host is cut off from the backend servers, and no peer connects it; use another host";
+        let after = match self.work.class {
+            Class::Online => RETRY_ELSEWHERE,
+            Class::Batch => NO_PATH_PAUSE,
+        };
+        let fail = Fail::new(Kind::NotReady, text).retry_after(after);
+        Abort::Final(self.final_fail(fail))
+    }
+
     /// Records that the server was lost before the answer began, for the quarantine of segments.
     fn note_lost(&self, slot: &Slot, attempt: &Attempt) {
         self.host.note_lost(LostAttempt {
--- a/src/route/state.rs
+++ b/src/route/state.rs
@@ -275,6 +275,11 @@
         Ok(chosen)
     }
 
+    /// Takes all servers back after failures that were not their own.
+    pub fn readmit_all(&self) {
+        self.lock().iter_mut().for_each(|s| s.health.readmit());
+    }
+
     pub(super) fn lock(&self) -> MutexGuard<'_, Vec<ServerStats>> {
         self.stats.lock().expect("routing state")
     }
