Tunnels: bounded send buffers, and a choice of peers without a scan

The choice of a peer looked at every live host for each tunnel, with a lock for each. It now tries the peers that serve tunnels, then peers from a random one on. The connection to the server has the send buffer that other connections have where slow readers are bounded. Any host with servers of its own probes them while it is cut off, not only those with a declared configuration.

--- a/src/tunnel/mod.rs
+++ b/src/tunnel/mod.rs
@@ -36,7 +36,7 @@
         routes: &[
             Route { port: Port::Peer, method: "POST", path: TunnelCall::PATH, handle: serve::serve },
         ],
-        tasks: &[Task { name: "server-probe", every: PROBE_INTERVAL, run: probe, waits: true, on: On::Outside }],
+        tasks: &[Task { name: "server-probe", every: PROBE_INTERVAL, run: probe, waits: true, on: On::All }],
         stop: |_| {},
     }
 }
--- a/src/tunnel/open.rs
+++ b/src/tunnel/open.rs
@@ -52,15 +52,28 @@
 }
 
 impl TunnelPeers {
-    /// The peer of `live` to ask at `now`: a random one of those that serve tunnels, else of all.
-    pub fn choose<'a, R: Rng>(&self, live: &'a [Peer], now: Time, rng: &mut R) -> Option<&'a Peer> {
-        if now < self.resume {
+    /// The peer of `live`, sorted by name, to ask at `now`: a random one of those that serve tunnels, else of all; only
+    /// one for which `may_use` holds.
+    pub fn choose<'a, R: Rng>(
+        &self,
+        live: &'a [Peer],
+        now: Time,
+        rng: &mut R,
+        may_use: impl Fn(&Peer) -> bool,
+    ) -> Option<&'a Peer> {
+        if now < self.resume || live.is_empty() {
             return None;
         }
-        let may_ask = |p: &&Peer| !self.skipped.contains(&p.name, now);
-        let serves = |p: &&Peer| self.preferred.contains(&p.name);
-        let preferred = live.iter().filter(may_ask).filter(serves).choose(rng);
-        preferred.or_else(|| live.iter().filter(may_ask).choose(rng))
+        let may_ask = |p: &&Peer| !self.skipped.contains(&p.name, now) && may_use(p);
+        let find = |name: &Name| {
+            let at = live.binary_search_by(|p| p.name.cmp(name)).ok()?;
+            Some(&live[at])
+        };
+        let preferred = self.preferred.iter().filter_map(find);
+        preferred.filter(may_ask).choose(rng).or_else(|| {
+            let (before, from) = live.split_at(rng.random_range(0..live.len()));
+            from.iter().chain(before).find(may_ask)
+        })
     }
 
     /// Peers that serve tunnels.
@@ -108,21 +121,22 @@
     /// The server did not get a byte.
     pub fn open_tunnel(self: &Arc<Self>, work: &Work, server: &Name) -> Result<Conn, NoTunnel> {
         let regions = self.declared.regions_of(self, work);
-        let mut live = self.members.live();
-        live.retain(|peer| {
-            let is_within = |r: &Arc<[Name]>| {
-                let zones = &self.settings.zones;
-                zones.may_pass(&peer.domain, &self.me.domain, r)
-            };
+        let may_use = |peer: &Peer| {
+            let zones = &self.settings.zones;
+            let is_within = |r: &Arc<[Name]>| zones.may_pass(&peer.domain, &self.me.domain, r);
             peer.name != self.me.name
                 && !self.members.is_down(&peer.name)
                 && regions.as_ref().is_none_or(is_within)
-        });
+        };
+        let ring = self.members.ring();
         let mut error = Name::default();
         for asked in 0..TRIES {
             let now = self.now();
             let left = work.deadline.saturating_sub(now);
-            let chosen = self.tunnels.peers().choose(&live, now, &mut rand::rng());
+            let rng = &mut rand::rng();
+            let peers = self.tunnels.peers();
+            let chosen = peers.choose(ring.peers(), now, rng, may_use);
+            drop(peers);
             let Some(peer) = chosen.filter(|_| !left.is_zero()) else {
                 break;
             };
--- a/src/tunnel/serve.rs
+++ b/src/tunnel/serve.rs
@@ -128,10 +128,7 @@
     match connected {
         Ok(stream) => {
             host.note_server_reached();
-            stream
-                .set_nodelay(true)
-                .and_then(|()| stream.set_read_timeout(Some(CHECK_INTERVAL)))
-                .and_then(|()| stream.set_write_timeout(Some(WRITE_TIMEOUT)))
+            prepare(host, &stream)
                 .map_err(|e| Fail::new(Kind::NotReady, format!("connection: {e}")))?;
             Ok(stream)
         }
@@ -141,6 +138,15 @@
     }
 }
 
+fn prepare(host: &Host, server: &TcpStream) -> io::Result<()> {
+    if let Some(readers) = host.passing.readers() {
+        readers.prepare(server)?;
+    }
+    server.set_nodelay(true)?;
+    server.set_read_timeout(Some(CHECK_INTERVAL))?;
+    server.set_write_timeout(Some(WRITE_TIMEOUT))
+}
+
 fn cut_off() -> Fail {
     Fail::new(Kind::NotReady, "this host reaches no backend server")
 }
--- a/tests/tunnel_decide.rs
+++ b/tests/tunnel_decide.rs
@@ -48,9 +48,10 @@
     (0..count).map(peer).collect()
 }
 
+/// The peers that are chosen; `h0` may not be used.
 fn chosen(known: &TunnelPeers, live: &[Peer], now: Duration) -> Vec<Name> {
     let mut rng = StdRng::seed_from_u64(1);
-    let chosen = (0..100).filter_map(|_| known.choose(live, now, &mut rng));
+    let chosen = (0..100).filter_map(|_| known.choose(live, now, &mut rng, |p| &*p.name != "h0"));
     let mut names: Vec<Name> = chosen.map(|p| p.name.clone()).collect();
     names.sort();
     names.dedup();
@@ -60,15 +61,15 @@
 #[test]
 fn choose_prefers_peers_that_serve_and_skips_those_that_refused() {
     let (mut known, live) = (TunnelPeers::default(), peers(6));
-    assert_eq!(chosen(&known, &live, NOW).len(), 6);
+    assert_eq!(chosen(&known, &live, NOW).len(), 5);
     known.note_served(&"h3".into());
     known.note_served(&"h4".into());
     assert_eq!(chosen(&known, &live, NOW), ["h3", "h4"].map(Name::from));
     known.note_refused(&"h4".into(), Kind::Overloaded, NOW);
     assert_eq!(chosen(&known, &live, NOW), ["h3"].map(Name::from));
     known.note_refused(&"h3".into(), Kind::NotReady, NOW);
-    assert_eq!(chosen(&known, &live, NOW).len(), 4);
-    assert_eq!(chosen(&known, &live, LATER).len(), 5);
+    assert_eq!(chosen(&known, &live, NOW).len(), 3);
+    assert_eq!(chosen(&known, &live, LATER).len(), 4);
 }
 
 #[test]
@@ -76,7 +77,7 @@
     let (mut known, live) = (TunnelPeers::default(), peers(3));
     known.note_none(NOW);
     assert!(chosen(&known, &live, NOW).is_empty());
-    assert_eq!(chosen(&known, &live, LATER).len(), 3);
+    assert_eq!(chosen(&known, &live, LATER).len(), 2);
 }
 
 #[test]
