--- a/src/tunnel/mod.rs
+++ b/src/tunnel/mod.rs
@@ -114,6 +114,8 @@
         }
         let failures = reach.failures();
         drop(reach);
+        // The peers of an earlier cut may be gone.
+        *self.tunnels.peers() = TunnelPeers::default();
         // The failures were not those of the servers.
         self.routes.readmit_all();
         tracing::warn!(
--- a/src/tunnel/open.rs
+++ b/src/tunnel/open.rs
@@ -149,9 +149,9 @@
                 Ok(conn) => {
                     let (id, server) = (&*work.id, &**server);
                     tracing::info!(id, server, peer = &*peer.name, asked, "tunnel_opened");
-                    self.tunnels.peers().note_served(&peer.name);
                     self.meters.tunnel_opened();
                     self.note_tunnel(&call.server, &peer.name);
+                    self.tunnels.peers().note_served(&peer.name);
                     return Ok(conn);
                 }
                 Err(refusal) if refusal.fail.kind == Kind::Unreachable => {
