Tunnels: check the path before peers are asked or a failure is vouched for

Cause: two crashed servers in a row made a host doubt its path; its peers, asked for one of them, doubted theirs and said that they reached no server; the request was refused as final, and no server was ejected.

Change: a host in doubt tries three random servers, 150 ms for all; a connection ends the doubt, and the failure is the server's. If the path stays in doubt and peers say the same, the request goes on to the next server; only a host that is known to be cut off refuses at once.

--- a/src/route/attempt.rs
+++ b/src/route/attempt.rs
@@ -118,7 +118,7 @@
         if let Err(Abort::Failed(fail)) = &result {
             if self.may_have_restarted {
                 host.suspect_start(&server, &slot.id, &fail.text);
-            } else if fail.kind == Kind::Unreachable {
+            } else if matches!(fail.kind, Kind::Unreachable | Kind::NotReady) {
                 // This host could not connect, which tells nothing about the server.
                 slot.is_sent = false;
             }
@@ -254,8 +254,10 @@
 fn outcome(attempt: &Attempt, result: &Result<Answer, Abort>) -> Outcome {
     match (result, attempt.first) {
         (Err(Abort::Failed(fail)), _) if fail.kind == Kind::Unreachable => Outcome::Unreachable,
-        // A full server is not unhealthy; its gate corrects its counts by itself.
-        (Err(Abort::Failed(fail)), _) if fail.kind == Kind::ServerFull => Outcome::Inconclusive,
+        // A full server is not unhealthy; its gate corrects its counts by itself. Nor is one without a path to it.
+        (Err(Abort::Failed(fail)), _) if matches!(fail.kind, Kind::ServerFull | Kind::NotReady) => {
+            Outcome::Inconclusive
+        }
         (Err(Abort::Failed(_)), _) => Outcome::Failure,
         (_, Some(first)) => Outcome::Success(first.saturating_sub(attempt.began).as_secs_f64()),
         _ => Outcome::Inconclusive,
--- a/src/route/passing.rs
+++ b/src/route/passing.rs
@@ -131,7 +131,7 @@
             match host.open_tunnel(self.work, &slot.server) {
                 Ok(conn) => return Ok(conn),
                 // Not known to be the server's fault.
-                Err(NoTunnel::NoPath) => return Err(self.no_path()),
+                Err(NoTunnel::NoPath) => return Err(Abort::Failed(self.cut_off())),
                 Err(NoTunnel::NoPeer | NoTunnel::Server(_)) => {}
             }
         }
@@ -142,13 +142,16 @@
 
     /// The end of a request that neither this host nor a peer can send to a server. Another host may serve it.
     fn no_path(&self) -> Abort {
+        Abort::Final(self.final_fail(self.cut_off()))
+    }
+
+    fn cut_off(&self) -> Fail {
         let text = "this host is cut off from the backend servers, and no peer connects it; use another host";
         let after = match self.work.class {
             Class::Online => RETRY_ELSEWHERE,
             Class::Batch => NO_PATH_PAUSE,
         };
-        let fail = Fail::new(Kind::NotReady, text).retry_after(after);
-        Abort::Final(self.final_fail(fail))
+        Fail::new(Kind::NotReady, text).retry_after(after)
     }
 
     /// Records that the server was lost before the answer began, for the quarantine of segments.
--- a/src/tunnel/mod.rs
+++ b/src/tunnel/mod.rs
@@ -21,14 +21,16 @@
 use serde::{Deserialize, Serialize};
 use serve::Served;
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 /// Interval of attempts of a host that is cut off to connect to a server.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout of such an attempt.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Most servers that are tried to find out whether the path is cut, and the timeout of all together.
+const CHECK_SERVERS: usize = 3;
+const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
 
 inventory::submit! {
     Plugin {
@@ -99,11 +101,33 @@
         }
     }
 
-    /// Records that this host failed to connect to `server`. Returns whether the path to all servers may be cut.
+    /// Records that this host failed to connect to `server`. Returns whether the path to all servers may be cut: then it
+    /// cannot connect to some others either.
     pub fn note_server_failed(&self, server: &Name) -> bool {
         let mut reach = self.tunnels.reach();
         reach.note_failed(server);
-        reach.is_doubtful(self.now())
+        let is_doubtful = reach.is_doubtful(self.now());
+        drop(reach);
+        is_doubtful && !self.reaches_some_server()
+    }
+
+    /// Tries to connect to a few random servers.
+    fn reaches_some_server(&self) -> bool {
+        let end = self.now() + CHECK_TIMEOUT;
+        let rng = &mut rand::rng();
+        let servers: Vec<SocketAddr> = self.config.view(|s| {
+            let chosen = (0..CHECK_SERVERS).filter_map(|_| s.servers.choose(rng));
+            chosen.map(|server| server.addr).collect()
+        });
+        let reaches = |addr: &SocketAddr| {
+            let left = end.saturating_sub(self.now());
+            !left.is_zero() && self.passing.connect(*addr, left).is_ok()
+        };
+        let is_reached = servers.iter().any(reaches);
+        if is_reached {
+            self.note_server_reached();
+        }
+        is_reached
     }
 
     /// Records that `peer` connected to `server`, which this host failed to connect to.
@@ -133,11 +157,6 @@
     if !host.tunnels.is_cut() {
         return;
     }
-    let server = host
-        .config
-        .view(|s| s.servers.choose(&mut rand::rng()).map(|s| s.addr));
-    let connected = server.map(|addr| host.passing.connect(addr, PROBE_TIMEOUT));
-    if matches!(connected, Some(Ok(_))) {
-        host.note_server_reached();
-    }
+    // Records a connection itself.
+    host.reaches_some_server();
 }
