Test chat_burst_over_full_batch: the burst starts once every item has tokens

Cause: the test began its burst as soon as the engines ran eight items. Their first token takes 5 ms; where the burst was quicker, all items were preempted without a token, resumed from position 0, and "nothing gave way" failed although all had given way.

Change: the test waits until every item has tokens, as its sister does. Its check is stricter: an item resumes behind its tokens, and none begins anew.

--- a/tests/online_priority.rs
+++ b/tests/online_priority.rs
@@ -86,15 +86,21 @@
         .sum()
 }
 
+/// Waits until as many items as there are slots have tokens; an item without any begins anew when it is preempted.
+fn wait_for_tokens(harness: &Harness) {
+    wait_for("every item has tokens", || {
+        let runs = harness.engines.iter().flat_map(standin::Engine::runs);
+        runs.filter(|r| r.pos > 0).count() == CAPACITY
+    });
+}
+
 #[test]
 fn chat_burst_over_full_batch_takes_all_slots() {
     let harness = harness(2);
     let items: Vec<_> = (0..CAPACITY)
         .map(|i| batch(&harness, i % 2, i, 1_500))
         .collect();
-    wait_for("batch work fills the engines", || {
-        running(&harness) == CAPACITY
-    });
+    wait_for_tokens(&harness);
     let callers: Vec<_> = (0..CAPACITY)
         .map(|i| {
             let harness = harness.clone();
@@ -113,11 +119,12 @@
         let answer = item.join().expect("item");
         assert_eq!(answer.text, expected(MODEL, &prompt(i), 1_500), "item {i}");
     }
-    let resumed = harness.engines.iter().flat_map(standin::Engine::runs);
-    assert!(
-        resumed.filter(|r| r.from > 0).count() > 0,
-        "nothing gave way"
-    );
+    let runs = harness.engines.iter().flat_map(standin::Engine::runs);
+    let (resumed, begun): (Vec<_>, Vec<_>) = runs
+        .filter(|r| r.id.starts_with("item"))
+        .partition(|r| r.from > 0);
+    assert!(!resumed.is_empty(), "nothing gave way: {begun:?}");
+    assert_eq!(begun.len(), CAPACITY, "items began anew: {begun:?}");
 }
 
 #[test]
@@ -126,10 +133,7 @@
     let items: Vec<_> = (0..CAPACITY)
         .map(|i| batch(&harness, 0, i, 1_500))
         .collect();
-    wait_for("every item has tokens", || {
-        let runs = harness.engines.iter().flat_map(standin::Engine::runs);
-        runs.filter(|r| r.pos > 0).count() == CAPACITY
-    });
+    wait_for_tokens(&harness);
     // Longer than batch work that has no tokens yet waits for free capacity.
     let callers: Vec<_> = (0..CAPACITY)
         .map(|i| {
