--- a/tests/batch_processes.rs
+++ b/tests/batch_processes.rs
@@ -1,34 +1,23 @@
 //! Batch jobs on daemon processes that are killed, paused or stopped between accept and result.
 
-use standin::{Caller, EngineConfig, Harness, Plan, job_streams, key_of, mixed_lines, wait_for};
-use std::{
-    env, fs,
-    net::TcpListener,
-    path::PathBuf,
-    process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU32, Ordering},
+use standin::{
+    Caller, EngineConfig, Harness, Plan, Process, job_streams, key_of, mixed_lines, wait_for,
 };
 
 const ITEMS: usize = 60;
 const TOKENS: u32 = 40;
 
-static FILES: AtomicU32 = AtomicU32::new(0);
-
 /// A daemon process.
 struct Daemon {
-    child: Child,
+    process: Process,
     caller: Caller,
-    file: PathBuf,
 }
 
 impl Daemon {
     fn start(harness: &Harness, name: &str) -> Self {
-        let free = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let port = free.local_addr().expect("its address").port();
-        drop(free);
         let text = format!(
             "[host]\nname = {name}\ndomain = b\n\
-             [listen]\ncaller = 127.0.0.1:{port}\npeer = 127.0.0.1:0\ncontrol = 127.0.0.1:0\n\
+             [listen]\ncaller = 127.0.0.1:0\npeer = 127.0.0.1:0\ncontrol = 127.0.0.1:0\n\
              [platform]\nlog = {}\nlist = {}\n\
              [stop]\nlinger_ms = 200\ndrain_ms = 30000\n\
              [log]\ninterval_ms = 5\n{}\
@@ -37,40 +26,14 @@
             harness.list.url(),
             job_streams(),
         );
-        let number = FILES.fetch_add(1, Ordering::Relaxed);
-        let file = env::temp_dir().join(format!("gt-{}-{number}.ini", std::process::id()));
-        fs::write(&file, text).expect("the settings file");
-        let child = Command::new(env!("CARGO_BIN_EXE_gooseberrytackd"))
-            .arg(&file)
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("the daemon starts");
-        let caller = Caller::new(format!("http://127.0.0.1:{port}"), &key_of("w0"));
-        let daemon = Self {
-            child,
-            caller,
-            file,
-        };
+        let bin = env!("CARGO_BIN_EXE_gooseberrytackd").as_ref();
+        let (process, addr, _) = Process::host(bin, &text);
+        let caller = Caller::new(format!("http://{addr}"), &key_of("w0"));
         wait_for("the daemon is ready", || {
-            let reply = daemon.caller.call("GET", "/readyz", b"");
+            let reply = caller.call("GET", "/readyz", b"");
             reply.is_ok_and(|r| r.status == 200)
         });
-        daemon
-    }
-
-    fn signal(&self, name: &str) {
-        let order = format!("kill -{name} {}", self.child.id());
-        let status = Command::new("sh").args(["-c", &order]).status();
-        assert!(status.expect("sh").success(), "{order}");
-    }
-}
-
-impl Drop for Daemon {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = fs::remove_file(&self.file);
+        Self { process, caller }
     }
 }
 
@@ -132,7 +95,7 @@
         let mut owner = Daemon::start(&harness, "owner");
         let job = owner.caller.submit_job(&name, &lines(&name));
         wait_step(&harness, &job, step);
-        owner.child.kill().expect("SIGKILL");
+        owner.process.kill();
         let again = other.caller.submit_job(&name, &lines(&name));
         assert_eq!(again, job, "a resend finds the job of the lost host");
         other.caller.wait_job(&job);
@@ -149,14 +112,14 @@
         let owner = Daemon::start(&harness, "owner");
         let job = owner.caller.submit_job(&name, &lines(&name));
         wait_step(&harness, &job, step);
-        owner.signal("STOP");
+        owner.process.pause();
         other.caller.wait_job(&job);
-        owner.signal("CONT");
+        owner.process.resume();
         check(&harness, &other.caller, &name, &job);
-        let before = other.caller.job_results(&job);
+        let before = other.caller.job_results(&job).expect("results");
         owner.caller.wait_job(&job);
         wait_for("the paused host reads on", || {
-            owner.caller.job_results(&job) == before
+            owner.caller.job_results(&job).as_ref() == Some(&before)
         });
         check(&harness, &owner.caller, &name, &job);
     }
@@ -169,9 +132,8 @@
     let job = owner.caller.submit_job("hand-over", &lines("hand-over"));
     wait_step(&harness, &job, Step::PartlyDone);
     let other = Daemon::start(&harness, "other");
-    owner.signal("TERM");
-    let status = owner.child.wait().expect("the end of the daemon");
-    assert!(status.success(), "no request was cut");
+    owner.process.terminate();
+    assert_eq!(owner.process.wait(), Some(0), "no request was cut");
     let view = other.caller.wait_job(&job);
     assert_eq!(view["request_counts"]["completed"], ITEMS, "{view}");
     check(&harness, &other.caller, "hand-over", &job);
