--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -2,17 +2,16 @@
 
 use super::{
     agents::Agents, bounded::BoundedConnector, budget::Budget, filter::Filter, request::is_status,
-    resolver::IpResolver,
+    resolver::IpResolver, stream::Stream,
 };
 use std::{
-    fmt,
-    io::{self, BufRead, BufReader, Read},
+    io::{self, BufReader, Read},
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 use ureq::{
-    Agent, Body, BodyReader,
+    Agent, Body,
     config::{AutoHeaderValue, Config},
     http::Response,
     unversioned::transport::{Connector, DefaultConnector},
@@ -95,23 +94,6 @@
     pub text: String,
 }
 
-/// An answer whose body is read as it arrives. Dropping it closes the connection.
-pub struct Stream {
-    /// HTTP status code.
-    pub status: u16,
-    reader: BufReader<BodyReader<'static>>,
-    addr: Option<SocketAddr>,
-    filter: Arc<Filter>,
-}
-
-impl fmt::Debug for Stream {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Stream")
-            .field("status", &self.status)
-            .finish_non_exhaustive()
-    }
-}
-
 impl Default for Client {
     fn default() -> Self {
         Self::new()
@@ -233,48 +215,6 @@
     }
 }
 
-impl Stream {
-    /// Reads the rest of the body, `limit` bytes at most.
-    ///
-    /// # Errors
-    /// The connection failed.
-    pub fn rest(&mut self, limit: usize) -> io::Result<String> {
-        let mut rest = Vec::new();
-        (&mut self.reader)
-            .take(limit as u64)
-            .read_to_end(&mut rest)?;
-        Ok(String::from_utf8_lossy(&rest).into_owned())
-    }
-
-    /// Reads a line, without its line feed; `None` at the end of the body.
-    ///
-    /// # Errors
-    /// The connection failed, sent nothing for `Timeouts::quiet`, or the line is longer than `limit`
-    /// bytes, lacks its line feed or is not UTF-8.
-    pub fn line(&mut self, limit: usize) -> io::Result<Option<String>> {
-        let mut line = Vec::new();
-        self.filter.check(self.addr)?;
-        (&mut self.reader)
-            .take(limit as u64 + 1)
-            .read_until(b'\n', &mut line)?;
-        self.filter.check(self.addr)?;
-        if line.len() > limit {
-            let text = format!("the line is longer than {limit} bytes");
-            return Err(io::Error::new(io::ErrorKind::InvalidData, text));
-        }
-        if line.pop_if(|b| *b == b'\n').is_none() {
-            return if line.is_empty() {
-                Ok(None)
-            } else {
-                Err(io::ErrorKind::UnexpectedEof.into())
-            };
-        }
-        String::from_utf8(line)
-            .map(Some)
-            .map_err(|_| io::Error::new(io::ErrorKind::InvalidData, "the line is not UTF-8"))
-    }
-}
-
 /// An agent that keeps `idle` connections for each address. If it keeps any, it is for short messages
 /// and adds no header fields beyond those that HTTP requires.
 pub(super) fn agent(idle: usize, reply: u64) -> Agent {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -18,13 +18,15 @@
 mod resolver;
 mod server;
 mod service;
+mod stream;
 mod watch;
 
 pub use budget::{Budget, Share};
-pub use client::{Client, Reply, SendError, Stream, Timeouts};
+pub use client::{Client, Reply, SendError, Timeouts};
 pub use exchange::Exchange;
 pub use output::SlowReaders;
 pub use readers::{Closed, Readers, Slow};
 pub(crate) use request::is_status;
 pub use request::{Framing, Head, HeadError, Request, parse_head};
 pub use server::{Bounds, Server};
+pub use stream::Stream;
--- a/src/pass/conn.rs
+++ b/src/pass/conn.rs
@@ -3,9 +3,12 @@
 //! Connections are not reused: the server cannot have closed a new one in the meantime, and surplus
 //! bytes after an answer cannot be taken for part of the next one.
 
-use super::{Body, Framing, Head};
+use super::{
+    Body, Framing, Head,
+    head::{ReadError, broken, framing, parse},
+};
 use crate::{
-    http::{SlowReaders, is_status},
+    http::SlowReaders,
     tunnel::{End, Frames},
 };
 use socket2::SockRef;
@@ -26,8 +29,6 @@
 const HEAD_MAX_BYTES: usize = 32 * 1024;
 /// Largest body that is copied behind its head.
 const COPY_MAX_BYTES: usize = 64 * 1024;
-/// Most header fields in an answer.
-const FIELDS_MAX: usize = 64;
 /// Longest time that one write may block.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after the end of an answer without a length in which a reset shows that the server did not read the
@@ -85,15 +86,6 @@
     }
 }
 
-/// Why nothing was read.
-#[derive(Debug)]
-pub enum ReadError {
-    /// Nothing arrived within the time limit.
-    TimedOut,
-    /// The connection failed or closed too early, or the answer is invalid.
-    Broken(String),
-}
-
 impl Conn {
     /// Connects within `limit`.
     ///
@@ -393,56 +385,8 @@
     }
 }
 
-/// The head at the start of `bytes` and its length in bytes; `None` if it is incomplete.
-fn parse(bytes: &[u8]) -> Result<Option<(Head, usize)>, ReadError> {
-    let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
-    let mut parsed = httparse::Response::new(&mut fields);
-    let size = match parsed.parse(bytes) {
-        Ok(httparse::Status::Complete(size)) => size,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(e) => return Err(broken(&format!("the answer is not valid HTTP: {e}"))),
-    };
-    let status = parsed.code.unwrap_or(0);
-    if !is_status(status) {
-        return Err(broken(&format!(
-            "the status {status:03} of the answer is not in 100 to 599"
-        )));
-    }
-    let named = parsed.headers.iter().map(|f| {
-        let value = String::from_utf8_lossy(f.value).trim().to_string();
-        (f.name.to_ascii_lowercase(), value)
-    });
-    let head = Head {
-        status,
-        fields: named.collect(),
-    };
-    Ok(Some((head, size)))
-}
-
 impl Drop for Conn {
     fn drop(&mut self) {
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 }
-
-fn framing(head: &Head) -> Result<Framing, ReadError> {
-    if matches!(head.status, 204 | 304) {
-        return Ok(Framing::Length(0));
-    }
-    match (
-        head.field("transfer-encoding"),
-        head.field("content-length"),
-    ) {
-        (Some(coding), None) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
-        (Some(_), _) => Err(broken("the answer has an invalid framing")),
-        (None, Some(text)) => text
-            .parse()
-            .map(Framing::Length)
-            .map_err(|_| broken("the content-length of the answer is not a number")),
-        (None, None) => Ok(Framing::Close),
-    }
-}
-
-fn broken(text: &str) -> ReadError {
-    ReadError::Broken(text.into())
-}
--- a/src/pass/mod.rs
+++ b/src/pass/mod.rs
@@ -9,16 +9,18 @@
 mod events;
 mod fields;
 mod forward;
+mod head;
 mod registry;
 mod sink;
 
 pub use body::{Body, Framing};
 pub use buffer::{Answers, Buffer};
-pub use conn::{Closer, Conn, RESET_WAIT, ReadError, is_reset};
+pub use conn::{Closer, Conn, RESET_WAIT, is_reset};
 pub use events::{Event, Events};
 pub use forward::{
     Access, Arrival, RETRY_ELSEWHERE, authenticate, authorize, forward, note_refusal, send_error,
 };
+pub use head::ReadError;
 pub use registry::{AttemptRegistry, Cut, Registration};
 pub use sink::is_connection_field;
 
