Test reader_behind: asks a reader from the position that the caller was answered at

Cause: the test asked a reader from position 0 and again from the position of that answer.

Change: the test asks once, from the position at which host 0 last answered its caller, as the product does. An older state there fails the test, as before.

--- a/tests/batch_streams.rs
+++ b/tests/batch_streams.rs
@@ -289,10 +289,8 @@
     };
     let limit = Duration::from_secs(30);
     let ask = |call: &JobCall| harness.host(0).call(reader.me.addr, call, limit);
-    let told = ask(&call(stream, 0))
-        .and_then(|t| t.job())
-        .expect("the job");
-    let told = ask(&call(stream, told.at))
+    let answered = harness.host(0).batch.streams.slot_of(&job).answered();
+    let told = ask(&call(stream, answered))
         .and_then(|t| t.job())
         .expect("the job");
     assert_eq!(told.counts.done, 5);
