--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -5,7 +5,10 @@
     collections::{BTreeMap, VecDeque},
     io,
     net::{SocketAddr, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -40,6 +43,11 @@
     history: Duration,
     /// Bytes from which appends are answered with 507.
     most: usize,
+    /// How many in a hundred appends get no answer and are done 1 to 6 s later.
+    lost: AtomicU64,
+    /// Such appends so far, and state of the numbers drawn for them.
+    late: AtomicU64,
+    drawn: AtomicU64,
 }
 
 impl Store {
@@ -49,9 +57,12 @@
             changed: Condvar::new(),
             history,
             most,
+            lost: AtomicU64::new(0),
+            late: AtomicU64::new(0),
+            drawn: AtomicU64::new(0x2545_F491_4F6C_DD1D),
         });
         let inner = store.clone();
-        http::serve(addr, move |request, out| inner.serve(request, out))?;
+        http::serve(addr, move |request, out| Self::serve(&inner, request, out))?;
         let inner = store.clone();
         thread::spawn(move || {
             loop {
@@ -68,6 +79,26 @@
         (state.stored, state.full)
     }
 
+    /// Loses the answers of so many in a hundred appends, which are done 1 to 6 s later.
+    pub fn lose(&self, percent: u64) {
+        self.lost.store(percent, Ordering::Relaxed);
+    }
+
+    /// Number of appends whose answers were lost.
+    pub fn late(&self) -> u64 {
+        self.late.load(Ordering::Relaxed)
+    }
+
+    /// A drawn number below `end` (xorshift).
+    fn draw(&self, end: u64) -> u64 {
+        let mut x = self.drawn.load(Ordering::Relaxed);
+        x ^= x << 13;
+        x ^= x >> 7;
+        x ^= x << 17;
+        self.drawn.store(x, Ordering::Relaxed);
+        x % end
+    }
+
     /// Writes a key as the operator or a server does.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let mut record = vec![key.len() as u8];
@@ -108,10 +139,13 @@
         }
     }
 
-    fn serve(&self, request: &Request, out: &mut TcpStream) -> io::Result<bool> {
+    fn serve(self: &Arc<Self>, request: &Request, out: &mut TcpStream) -> io::Result<bool> {
         thread::sleep(ANSWER_TIME);
         let topic = request.param("topic");
         match request.path.rsplit('/').next().unwrap_or("") {
+            "log-append" if self.draw(100) < self.lost.load(Ordering::Relaxed) => {
+                return self.append_late(topic, &request.body);
+            }
             "log-append" => self.serve_append(topic, &request.body, out)?,
             "log-read" => self.serve_read(topic, request, out)?,
             "log-newest" => self.serve_newest(topic, request.param("after"), out)?,
@@ -120,17 +154,25 @@
         Ok(true)
     }
 
-    fn serve_append(&self, topic: &str, body: &[u8], out: &mut TcpStream) -> io::Result<()> {
-        let mut records = Vec::new();
-        let mut rest = body;
-        while let Some((size, tail)) = rest.split_first_chunk::<4>() {
-            let size = u32::from_be_bytes(*size) as usize;
-            if size > 262_144 || size > tail.len() {
-                return answer(out, 400, &[], b"record");
-            }
-            records.push(tail[..size].to_vec());
-            rest = &tail[size..];
+    /// Appends 1 to 6 s later. The connection returns nothing further.
+    fn append_late(self: &Arc<Self>, topic: &str, body: &[u8]) -> io::Result<bool> {
+        self.late.fetch_add(1, Ordering::Relaxed);
+        let wait = Duration::from_millis(1000 + self.draw(5000));
+        if let Some(records) = split(body) {
+            let (store, topic) = (self.clone(), topic.to_string());
+            thread::spawn(move || {
+                thread::sleep(wait);
+                store.append(&topic, records);
+            });
         }
+        thread::sleep(Duration::from_secs(10));
+        Ok(false)
+    }
+
+    fn serve_append(&self, topic: &str, body: &[u8], out: &mut TcpStream) -> io::Result<()> {
+        let Some(records) = split(body) else {
+            return answer(out, 400, &[], b"record");
+        };
         if body.len() > 2_097_152 {
             return answer(out, 413, &[], b"call");
         }
@@ -210,6 +252,21 @@
     }
 }
 
+/// The records of an append; none if one of them is invalid.
+fn split(body: &[u8]) -> Option<Vec<Vec<u8>>> {
+    let mut records = Vec::new();
+    let mut rest = body;
+    while let Some((size, tail)) = rest.split_first_chunk::<4>() {
+        let size = u32::from_be_bytes(*size) as usize;
+        if size > 262_144 || size > tail.len() {
+            return None;
+        }
+        records.push(tail[..size].to_vec());
+        rest = &tail[size..];
+    }
+    Some(records)
+}
+
 /// Base64 with padding.
 pub fn base64(bytes: &[u8]) -> String {
     const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
